--- a/crates/stacktack-agent/src/operator.rs
+++ b/crates/stacktack-agent/src/operator.rs
@@ -9,11 +9,11 @@
 use serde::Serialize;
 use stacktack_core::gate::GateCounters;
 use stacktack_core::problem::{Kind, Outcome};
-use stacktack_platform::control::{
+use stacktack_node::control::{
     hand_out_configuration, take_changes, ControlHandle, CHANGES_PATH, CONFIGURATION_PATH,
 };
-use stacktack_platform::http::{json_reply, problem_reply, text_reply};
-use stacktack_platform::metrics::Metrics;
+use stacktack_node::http::{json_reply, problem_reply, text_reply};
+use stacktack_node::metrics::Metrics;
 use tokio::sync::mpsc::UnboundedSender;
 
 use crate::shared::{TrafficCommand, TrafficState};
--- a/crates/stacktack-agent/src/settings.rs
+++ b/crates/stacktack-agent/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use stacktack_platform::settings::{read_or_exit, Flag};
+use stacktack_node::settings::{read_or_exit, Flag};
 
 const FLAGS: &[Flag] = &[
     Flag::required("name", "NAME", "name of the back end in the configuration"),
--- /dev/null
+++ b/crates/stacktack-core/src/direct/back_end.rs
@@ -0,0 +1,318 @@
+//! What a router believes of each back end.
+//!
+//! Beliefs come from the directory (who exists, who is leaving), from answers
+//! (failures, time to the first byte, silence) and from connections that did
+//! not come up. No probe is sent. A bad standing only lowers preference: when
+//! every candidate stands badly, the best of them is still used.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::configuration::selector::Labels;
+use crate::time::Time;
+
+/// Connections in a row that failed before a back end is passed by.
+const FAILURES_TO_EJECT: u32 = 2;
+
+/// First time that a back end is passed by; doubles with each failed return.
+const FIRST_EJECTION: Duration = Duration::from_millis(500);
+
+/// Longest time that a back end is passed by.
+const LONGEST_EJECTION: Duration = Duration::from_secs(4);
+
+/// With requests in flight and no byte for this long a back end is silent.
+const SILENCE: Duration = Duration::from_millis(450);
+
+/// Weight of the newest outcome in a back end's failure share.
+const FAILURE_WEIGHT: f64 = 0.12;
+
+/// A failure share is degraded above this multiple of the pool's share ...
+const DEGRADED_FACTOR: f64 = 2.0;
+
+/// ... plus this much.
+const DEGRADED_SLACK: f64 = 0.15;
+
+/// Weight of the newest time to the first byte.
+const LATENCY_WEIGHT: f64 = 0.15;
+
+/// A time to the first byte is degraded above this multiple of the pool's mean.
+const SLOW_FACTOR: f64 = 3.0;
+
+/// Time after which a back end that got no requests is given the benefit of the doubt.
+const FORGET: Duration = Duration::from_secs(3);
+
+/// How well a back end stands; lower is better.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Standing {
+    /// Nothing speaks against it.
+    Good,
+    /// It fails or is slow clearly more often than its pool.
+    Degraded,
+    /// It is silent, or connections to it fail.
+    Ejected,
+}
+
+impl Standing {
+    /// Fixed word for logs.
+    pub fn word(self) -> &'static str {
+        match self {
+            Standing::Good => "good",
+            Standing::Degraded => "degraded",
+            Standing::Ejected => "ejected",
+        }
+    }
+}
+
+/// A back end as the directory describes it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BackEndEntry {
+    /// Unique id of this life of the back end.
+    pub id: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Labels; pools are conditions on them.
+    pub labels: Labels,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+}
+
+/// Label that names a back end's zone.
+pub const ZONE_LABEL: &str = "zone";
+
+/// A back end and what is believed of it.
+#[derive(Clone, Debug)]
+pub struct BackEnd {
+    /// The directory's entry.
+    pub entry: BackEndEntry,
+    /// Hash of the id, for rendezvous hashing.
+    pub id_hash: u64,
+    /// Requests of this router in flight there.
+    pub in_flight: u32,
+    /// Requests of other routers in flight there, as they last told.
+    pub in_flight_elsewhere: f64,
+    failures_in_a_row: u32,
+    ejected_until: Option<Time>,
+    failure_share: f64,
+    first_byte_seconds: Option<f64>,
+    silent_since: Time,
+    last_used: Time,
+}
+
+impl BackEnd {
+    fn new(entry: BackEndEntry, now: Time) -> Self {
+        let id_hash = xxh3_64(entry.id.as_bytes());
+        BackEnd {
+            entry,
+            id_hash,
+            in_flight: 0,
+            in_flight_elsewhere: 0.0,
+            failures_in_a_row: 0,
+            ejected_until: None,
+            failure_share: 0.0,
+            first_byte_seconds: None,
+            silent_since: now,
+            last_used: now,
+        }
+    }
+
+    /// Requests in flight there from all routers, as far as known.
+    pub fn load(&self) -> f64 {
+        f64::from(self.in_flight) + self.in_flight_elsewhere
+    }
+
+    /// A request was sent there.
+    pub fn on_send(&mut self, now: Time) {
+        if self.in_flight == 0 {
+            self.silent_since = now;
+        }
+        self.in_flight += 1;
+        self.last_used = now;
+    }
+
+    /// A request there ended or was given up.
+    pub fn on_end(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+
+    /// Bytes came from there.
+    pub fn on_bytes(&mut self, now: Time) {
+        self.silent_since = now;
+        self.failures_in_a_row = 0;
+        self.ejected_until = None;
+    }
+
+    /// An answer's first byte came this long after its request was sent.
+    pub fn on_first_byte(&mut self, after: Duration) {
+        let seconds = after.as_secs_f64();
+        let mean = self.first_byte_seconds.unwrap_or(seconds);
+        self.first_byte_seconds = Some(mean + LATENCY_WEIGHT * (seconds - mean));
+    }
+
+    /// An attempt ended well or with a failure of the back end.
+    pub fn on_outcome(&mut self, failed: bool) {
+        let value = f64::from(u8::from(failed));
+        self.failure_share += FAILURE_WEIGHT * (value - self.failure_share);
+    }
+
+    /// A connection failed or the back end fell silent. Returns whether it is
+    /// passed by from now on.
+    pub fn on_unreachable(&mut self, now: Time) -> bool {
+        self.failures_in_a_row += 1;
+        if self.failures_in_a_row < FAILURES_TO_EJECT {
+            return false;
+        }
+        let doublings = (self.failures_in_a_row - FAILURES_TO_EJECT).min(8);
+        let span = FIRST_EJECTION
+            .saturating_mul(1 << doublings)
+            .min(LONGEST_EJECTION);
+        self.ejected_until = Some(now + span);
+        true
+    }
+
+    /// Whether requests are in flight there and no byte came for too long.
+    pub fn is_silent(&self, now: Time) -> bool {
+        self.in_flight > 0 && now.since(self.silent_since) > SILENCE
+    }
+
+    fn standing(&self, now: Time, pool: &PoolMeans) -> Standing {
+        let ejected = self.ejected_until.is_some_and(|until| now < until);
+        if ejected || self.is_silent(now) {
+            return Standing::Ejected;
+        }
+        if now.since(self.last_used) > FORGET {
+            return Standing::Good;
+        }
+        let failing = self.failure_share > DEGRADED_FACTOR * pool.failure_share + DEGRADED_SLACK;
+        let slow = match (self.first_byte_seconds, pool.first_byte_seconds) {
+            (Some(own), Some(mean)) => own > SLOW_FACTOR * mean,
+            _ => false,
+        };
+        if failing || slow {
+            Standing::Degraded
+        } else {
+            Standing::Good
+        }
+    }
+}
+
+struct PoolMeans {
+    failure_share: f64,
+    first_byte_seconds: Option<f64>,
+}
+
+impl PoolMeans {
+    fn of<'a>(members: impl Iterator<Item = &'a BackEnd>) -> Self {
+        let mut failure_sum = 0.0;
+        let mut count: f64 = 0.0;
+        let mut latencies = Vec::new();
+        for member in members {
+            failure_sum += member.failure_share;
+            count += 1.0;
+            latencies.extend(member.first_byte_seconds);
+        }
+        latencies.sort_unstable_by(f64::total_cmp);
+        PoolMeans {
+            failure_share: failure_sum / count.max(1.0),
+            first_byte_seconds: latencies.get(latencies.len() / 2).copied(),
+        }
+    }
+}
+
+/// What changed with a new list of the directory.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct DirectoryChange {
+    /// Ids that were not known before.
+    pub joined: Vec<String>,
+    /// Ids that take no new work from now on.
+    pub leaving: Vec<String>,
+    /// Ids that are gone.
+    pub gone: Vec<String>,
+}
+
+/// All back ends that a router knows.
+#[derive(Clone, Debug, Default)]
+pub struct BackEnds {
+    members: HashMap<String, BackEnd>,
+}
+
+impl BackEnds {
+    /// Takes one entry of the directory.
+    pub fn upsert(&mut self, entry: BackEndEntry, now: Time, change: &mut DirectoryChange) {
+        match self.members.get_mut(&entry.id) {
+            Some(known) => {
+                if entry.leaving && !known.entry.leaving {
+                    change.leaving.push(entry.id.clone());
+                }
+                known.entry = entry;
+            }
+            None => {
+                change.joined.push(entry.id.clone());
+                self.members
+                    .insert(entry.id.clone(), BackEnd::new(entry, now));
+            }
+        }
+    }
+
+    /// The directory no longer lists a back end.
+    pub fn remove(&mut self, id: &str, change: &mut DirectoryChange) {
+        if self.members.remove(id).is_some() {
+            change.gone.push(id.to_owned());
+        }
+    }
+
+    /// Ids of all back ends.
+    pub fn ids(&self) -> impl Iterator<Item = &str> {
+        self.members.keys().map(String::as_str)
+    }
+
+    /// A back end.
+    pub fn get(&self, id: &str) -> Option<&BackEnd> {
+        self.members.get(id)
+    }
+
+    /// A back end, to change what is believed of it.
+    pub fn get_mut(&mut self, id: &str) -> Option<&mut BackEnd> {
+        self.members.get_mut(id)
+    }
+
+    /// All back ends.
+    pub fn iter(&self) -> impl Iterator<Item = &BackEnd> {
+        self.members.values()
+    }
+
+    /// All back ends, to change what is believed of them.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut BackEnd> {
+        self.members.values_mut()
+    }
+
+    /// Number of back ends that take new work.
+    pub fn working(&self) -> usize {
+        self.members
+            .values()
+            .filter(|member| !member.entry.leaving)
+            .count()
+    }
+
+    /// Members that take new work and meet the test, each with its standing.
+    pub fn pool(
+        &self,
+        now: Time,
+        meets: impl Fn(&BackEndEntry) -> bool,
+    ) -> Vec<(&BackEnd, Standing)> {
+        let members: Vec<&BackEnd> = self
+            .members
+            .values()
+            .filter(|member| !member.entry.leaving && meets(&member.entry))
+            .collect();
+        let means = PoolMeans::of(members.iter().copied());
+        members
+            .into_iter()
+            .map(|member| (member, member.standing(now, &means)))
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/stacktack-core/src/direct/mod.rs
@@ -0,0 +1,23 @@
+//! Decisions of a router that speaks to back ends directly.
+//!
+//! Back ends that have no agent beside them are reached straight from the
+//! router, which then holds their gates itself: admission, outlier detection,
+//! the retry budget and the certainty of "not run" are decided here.
+//!
+//! - [`places`]: where prompt parts were last read.
+//! - [`route`]: routes, keys and limits: the traffic configuration.
+//! - [`prompt`]: the chain of prompt parts that a request announces.
+//! - [`back_end`]: what the router believes of each back end.
+//! - [`select`]: choice of a back end, a pure function over a snapshot.
+//! - [`attempt`]: what one attempt proved and what follows from it.
+//! - [`budget`]: the retry budget that all routers share.
+//! - [`events`]: whole events of a stream, for resumption.
+
+pub mod attempt;
+pub mod back_end;
+pub mod budget;
+pub mod events;
+pub mod places;
+pub mod prompt;
+pub mod route;
+pub mod select;
--- /dev/null
+++ b/crates/stacktack-core/src/direct/route.rs
@@ -0,0 +1,189 @@
+//! Routes, keys and limits: the traffic configuration of a direct router.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::configuration::selector::Requirement;
+
+/// How often a request of a route may run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RouteKind {
+    /// May run more than once.
+    Repeatable,
+    /// Runs at most once.
+    Once,
+    /// A stream of events; runs at most once.
+    Stream,
+    /// A stream that another back end may continue after its last event.
+    ResumableStream,
+}
+
+impl RouteKind {
+    /// Whether the request may run more than once.
+    pub fn is_idempotent(self) -> bool {
+        matches!(self, RouteKind::Repeatable | RouteKind::ResumableStream)
+    }
+
+    /// Whether the answer is a stream of events.
+    pub fn is_stream(self) -> bool {
+        matches!(self, RouteKind::Stream | RouteKind::ResumableStream)
+    }
+}
+
+/// One share of a route's traffic: back ends whose labels meet all conditions.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// Conditions on the back end's labels.
+    pub back_ends: Vec<Requirement>,
+    /// Share of the traffic, relative to the route's other targets.
+    pub weight: u32,
+}
+
+/// A route.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Route {
+    /// Unique name.
+    pub name: String,
+    /// Host that it serves, in lower case without a port.
+    pub host: String,
+    /// Prefix of the path; starts and ends with a slash.
+    pub path_prefix: String,
+    /// How often a request may run.
+    pub kind: RouteKind,
+    /// Where its traffic goes; never empty.
+    pub targets: Vec<Target>,
+    /// Longest time that a request is held.
+    pub timeout: Duration,
+    /// Time within which an answer (the first event of a stream) is wanted.
+    pub objective: Duration,
+    /// Rank; 0 is the most urgent.
+    pub priority: u8,
+    /// Largest number of back ends that one request is sent to.
+    pub max_attempts: u32,
+    /// Whether requests need no key.
+    pub public: bool,
+}
+
+/// Routes by host and path prefix.
+#[derive(Clone, Debug, Default)]
+pub struct RouteTable {
+    hosts: HashMap<String, HashMap<String, Arc<Route>>>,
+    count: usize,
+}
+
+impl RouteTable {
+    /// A table of routes; of two with the same host and prefix the last stays.
+    pub fn new(routes: impl IntoIterator<Item = Route>) -> Self {
+        let mut table = RouteTable::default();
+        for route in routes {
+            let host = table.hosts.entry(route.host.clone()).or_default();
+            if host
+                .insert(route.path_prefix.clone(), Arc::new(route))
+                .is_none()
+            {
+                table.count += 1;
+            }
+        }
+        table
+    }
+
+    /// Number of routes.
+    pub fn len(&self) -> usize {
+        self.count
+    }
+
+    /// Whether there is no route.
+    pub fn is_empty(&self) -> bool {
+        self.count == 0
+    }
+
+    /// The route of the host whose prefix is the longest that begins the path.
+    /// `host` may carry a port.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let prefixes = match self.hosts.get(name) {
+            Some(prefixes) => prefixes,
+            None => self.hosts.get(&name.to_ascii_lowercase())?,
+        };
+        let mut rest = path;
+        while let Some(slash) = rest.rfind('/') {
+            if let Some(route) = prefixes.get(&path[..=slash]) {
+                return Some(route);
+            }
+            rest = &path[..slash];
+        }
+        None
+    }
+}
+
+/// A tenant as keys name it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Tenant {
+    /// Unique name.
+    pub name: String,
+    /// Rank of its requests in place of the route's.
+    pub priority: Option<u8>,
+}
+
+/// Tenants by key.
+#[derive(Clone, Debug, Default)]
+pub struct KeyRing {
+    tenants: HashMap<String, Arc<Tenant>>,
+}
+
+impl KeyRing {
+    /// A ring of tenants and their keys.
+    pub fn new(tenants: impl IntoIterator<Item = (Tenant, Vec<String>)>) -> Self {
+        let mut ring = KeyRing::default();
+        for (tenant, keys) in tenants {
+            let tenant = Arc::new(tenant);
+            for key in keys {
+                ring.tenants.insert(key, tenant.clone());
+            }
+        }
+        ring
+    }
+
+    /// The tenant that holds a key.
+    pub fn tenant(&self, key: &str) -> Option<&Arc<Tenant>> {
+        self.tenants.get(key)
+    }
+}
+
+/// Bounds on what a caller may send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// Largest request head, in bytes.
+    pub header_bytes: usize,
+    /// Largest request body, in bytes.
+    pub body_bytes: usize,
+    /// Longest time for a request head to arrive.
+    pub header_timeout: Duration,
+    /// Longest rest of a connection between requests.
+    pub idle_timeout: Duration,
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        CallerLimits {
+            header_bytes: 16 * 1024,
+            body_bytes: 4 * 1024 * 1024,
+            header_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        }
+    }
+}
+
+/// One version of the traffic configuration.
+#[derive(Clone, Debug, Default)]
+pub struct TrafficConfiguration {
+    /// Version; a process only ever takes a higher one.
+    pub version: u64,
+    /// Routes.
+    pub routes: RouteTable,
+    /// Tenants by key; `None` when requests need no key.
+    pub keys: Option<KeyRing>,
+    /// Bounds on what a caller may send.
+    pub limits: CallerLimits,
+}
--- /dev/null
+++ b/crates/stacktack-core/src/direct/select.rs
@@ -0,0 +1,158 @@
+//! Choice of a back end: a pure function over a snapshot.
+//!
+//! Requests with a shared prompt part are kept together by rendezvous hashing:
+//! the hash of part and back end orders the candidates, the same order at each
+//! router. The first whose load is within the bound takes the request; when
+//! none is, the least loaded one. Requests without a part go to the least
+//! loaded candidate of their own zone unless another zone is clearly freer.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::direct::back_end::Standing;
+
+/// What is known of one candidate at the time of the choice.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct DirectCandidate {
+    /// Place of the back end in the caller's list.
+    pub index: usize,
+    /// Hash of the back end's id.
+    pub id_hash: u64,
+    /// Requests in flight there, from all routers as far as known.
+    pub load: f64,
+    /// Requests that it runs at once.
+    pub slots: f64,
+    /// Whether it stands in the router's zone.
+    pub same_zone: bool,
+    /// What the router holds of it.
+    pub standing: Standing,
+}
+
+/// Bounds of the choice.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SelectBounds {
+    /// A candidate is passed by above this multiple of the mean load ...
+    pub spill_factor: f64,
+    /// ... plus this many requests.
+    pub spill_slack: f64,
+    /// Requests by which another zone has to be freer.
+    pub zone_slack: f64,
+}
+
+impl Default for SelectBounds {
+    fn default() -> Self {
+        SelectBounds {
+            spill_factor: 1.5,
+            spill_slack: 2.0,
+            zone_slack: 1.5,
+        }
+    }
+}
+
+/// The choice and what decided it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Selection {
+    /// The chosen back end's place in the caller's list.
+    pub index: usize,
+    /// Its load before this request.
+    pub load: f64,
+    /// Mean load of the candidates.
+    pub mean: f64,
+    /// Places passed by in the rendezvous order; 0 is the home.
+    pub rank: usize,
+    /// The home's place, for requests with a shared part.
+    pub home: Option<usize>,
+}
+
+/// Chooses for a request with a shared part.
+pub fn select_by_affinity(
+    candidates: &[DirectCandidate],
+    part: u64,
+    bounds: &SelectBounds,
+) -> Option<Selection> {
+    let mean = mean_load(candidates)?;
+    let mut order: Vec<(u64, &DirectCandidate)> = candidates
+        .iter()
+        .map(|candidate| (score(part, candidate.id_hash), candidate))
+        .collect();
+    order.sort_unstable_by_key(|(score, _)| std::cmp::Reverse(*score));
+    let home = order.first().map(|(_, candidate)| candidate.index);
+    let bound = bounds.spill_factor * mean + bounds.spill_slack;
+    let best = best_standing(candidates);
+    let within = order
+        .iter()
+        .position(|(_, candidate)| candidate.standing == best && candidate.load < bound);
+    let rank = match within {
+        Some(rank) => rank,
+        None => least_loaded_rank(&order, best)?,
+    };
+    let chosen = order[rank].1;
+    Some(Selection {
+        index: chosen.index,
+        load: chosen.load,
+        mean,
+        rank,
+        home,
+    })
+}
+
+/// Chooses for a request that may go anywhere; `draw` breaks ties.
+pub fn select_by_load(
+    candidates: &[DirectCandidate],
+    draw: u64,
+    bounds: &SelectBounds,
+) -> Option<Selection> {
+    let mean = mean_load(candidates)?;
+    let best = best_standing(candidates);
+    let cost = |candidate: &DirectCandidate| {
+        let away = if candidate.same_zone {
+            0.0
+        } else {
+            bounds.zone_slack
+        };
+        candidate.load + away
+    };
+    let chosen = candidates
+        .iter()
+        .filter(|candidate| candidate.standing == best)
+        .min_by(|a, b| {
+            cost(a)
+                .total_cmp(&cost(b))
+                .then_with(|| score(draw, a.id_hash).cmp(&score(draw, b.id_hash)))
+        })?;
+    Some(Selection {
+        index: chosen.index,
+        load: chosen.load,
+        mean,
+        rank: 0,
+        home: None,
+    })
+}
+
+fn score(part: u64, id_hash: u64) -> u64 {
+    xxh3_64_with_seed(&id_hash.to_le_bytes(), part)
+}
+
+fn mean_load(candidates: &[DirectCandidate]) -> Option<f64> {
+    if candidates.is_empty() {
+        return None;
+    }
+    let sum: f64 = candidates.iter().map(|candidate| candidate.load).sum();
+    Some(sum / candidates.len() as f64)
+}
+
+fn best_standing(candidates: &[DirectCandidate]) -> Standing {
+    candidates
+        .iter()
+        .map(|candidate| candidate.standing)
+        .min()
+        .unwrap_or(Standing::Good)
+}
+
+fn least_loaded_rank(order: &[(u64, &DirectCandidate)], best: Standing) -> Option<usize> {
+    order
+        .iter()
+        .enumerate()
+        .filter(|(_, (_, candidate))| candidate.standing == best)
+        .min_by(|a, b| a.1 .1.load.total_cmp(&b.1 .1.load))
+        .map(|(rank, _)| rank)
+}
--- a/crates/stacktack-core/src/lib.rs
+++ b/crates/stacktack-core/src/lib.rs
@@ -8,12 +8,14 @@
 //! - [`placement`]: choice of a back end as a pure function over a snapshot.
 //! - [`gate`]: an agent's admission, queue, attempts, drain.
 //! - [`dispatch`]: a router's requests, offers, retries, fates.
+//! - [`direct`]: a router that reaches back ends without agents.
 //! - [`control`]: membership, gossip within a byte budget, configuration sync.
 //! - [`chart`]: interpreter of the state charts in `charts/`.
 
 pub mod chart;
 pub mod configuration;
 pub mod control;
+pub mod direct;
 pub mod dispatch;
 pub mod gate;
 pub mod lease;
--- a/crates/stacktack-ctl/src/app.rs
+++ b/crates/stacktack-ctl/src/app.rs
@@ -1,7 +1,7 @@
 //! Reading the command line and running a command.
 
-use stacktack_platform::client::PlatformClient;
-use stacktack_platform::settings::{read_or_exit, Flag, Settings};
+use stacktack_node::client::PlatformClient;
+use stacktack_node::settings::{read_or_exit, Flag, Settings};
 
 use crate::commands::{self, Context};
 use crate::output::{CommandError, EXIT_DONE};
--- a/crates/stacktack-ctl/src/commands.rs
+++ b/crates/stacktack-ctl/src/commands.rs
@@ -6,8 +6,8 @@
 use stacktack_core::configuration::document::Document;
 use stacktack_core::configuration::validation::parse;
 use stacktack_core::dispatch::record::{DecisionRecord, RequestRecord};
-use stacktack_platform::client::{Machine, PlatformClient, PlatformError};
-use stacktack_platform::configuration_store::{apply_document, read_chain, read_head};
+use stacktack_node::client::{Machine, PlatformClient, PlatformError};
+use stacktack_node::configuration_store::{apply_document, read_chain, read_head};
 use stacktack_wire::identity::{ConfigurationVersion, NodeId};
 
 use crate::output::CommandError;
--- a/crates/stacktack-ctl/src/output.rs
+++ b/crates/stacktack-ctl/src/output.rs
@@ -1,8 +1,8 @@
 //! Exit codes and errors of the command line.
 
 use stacktack_core::configuration::validation::DocumentError;
-use stacktack_platform::client::PlatformError;
-use stacktack_platform::configuration_store::StoreError;
+use stacktack_node::client::PlatformError;
+use stacktack_node::configuration_store::StoreError;
 use thiserror::Error;
 
 /// Everything went as asked.
--- /dev/null
+++ b/crates/stacktack-direct/src/answer.rs
@@ -0,0 +1,288 @@
+//! Bodies on their way to callers.
+
+use std::future::Future;
+use std::pin::Pin;
+use std::task::{ready, Context, Poll};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures_util::future::LocalBoxFuture;
+use futures_util::FutureExt;
+use http_body::{Body, Frame, SizeHint};
+use hyper::body::Incoming;
+use stacktack_core::direct::attempt::AttemptFailure;
+use stacktack_core::direct::events::EventSplitter;
+use stacktack_core::direct::route::RouteKind;
+use thiserror::Error;
+use tokio::time::{sleep_until, Sleep};
+
+use crate::attempt::Attempt;
+use crate::exchange::{Exchange, Outcome};
+
+/// Time without bytes after which a resumable stream is continued elsewhere.
+const STALL: Duration = Duration::from_millis(800);
+
+/// Why an answer broke off midway; the caller's connection is closed.
+#[derive(Debug, Error)]
+pub enum AnswerError {
+    /// The back end's answer broke off.
+    #[error("the back end's answer broke off")]
+    BrokenOff,
+    /// The time that the request had is over.
+    #[error("the time that the request had is over")]
+    TimeOver,
+}
+
+/// Body of an answer.
+pub enum AnswerBody {
+    /// All bytes are here; `None` once they are taken.
+    Whole(Option<Bytes>),
+    /// A stream under way.
+    Stream(Box<StreamAnswer>),
+}
+
+impl AnswerBody {
+    /// A body of bytes.
+    pub fn whole(bytes: Bytes) -> Self {
+        AnswerBody::Whole(Some(bytes).filter(|bytes| !bytes.is_empty()))
+    }
+
+    /// A stream under way.
+    pub fn stream(stream: StreamAnswer) -> Self {
+        AnswerBody::Stream(Box::new(stream))
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = AnswerError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, AnswerError>>> {
+        match &mut *self {
+            AnswerBody::Whole(bytes) => {
+                Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes))))
+            }
+            AnswerBody::Stream(stream) => stream.poll_next(context),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, AnswerBody::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            AnswerBody::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64)
+            }
+            AnswerBody::Stream(_) => SizeHint::default(),
+        }
+    }
+}
+
+type Resumed = (Box<Exchange>, Option<(Incoming, Attempt)>);
+
+enum Source {
+    /// A back end is sending.
+    Sending {
+        exchange: Box<Exchange>,
+        incoming: Incoming,
+        attempt: Attempt,
+    },
+    /// Another back end is asked to continue.
+    Resuming(LocalBoxFuture<'static, Resumed>),
+    /// Nothing more comes.
+    Ended,
+}
+
+/// A stream on its way to a caller.
+pub struct StreamAnswer {
+    source: Source,
+    /// Cuts resumable streams into whole events.
+    splitter: Option<EventSplitter>,
+    status: u16,
+    limit: Pin<Box<Sleep>>,
+    stall: Option<Pin<Box<Sleep>>>,
+}
+
+enum Step {
+    Data(Bytes),
+    End,
+    Broken(AttemptFailure),
+    TimeOver,
+}
+
+impl StreamAnswer {
+    /// A stream whose head is there.
+    pub fn new(exchange: Box<Exchange>, incoming: Incoming, attempt: Attempt, status: u16) -> Self {
+        let resumable = exchange.route.kind == RouteKind::ResumableStream;
+        let limit = Box::pin(sleep_until(exchange.limit.into()));
+        StreamAnswer {
+            source: Source::Sending {
+                exchange,
+                incoming,
+                attempt,
+            },
+            splitter: resumable.then(EventSplitter::default),
+            status,
+            limit,
+            stall: resumable.then(|| Box::pin(sleep_until((Instant::now() + STALL).into()))),
+        }
+    }
+
+    /// Whether another back end may continue the stream.
+    pub fn is_resumable(&self) -> bool {
+        self.splitter.is_some()
+    }
+
+    fn poll_next(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, AnswerError>>> {
+        loop {
+            if let Source::Resuming(future) = &mut self.source {
+                let (mut exchange, resumed) = match future.poll_unpin(context) {
+                    Poll::Ready(resumed) => resumed,
+                    Poll::Pending => {
+                        ready!(self.limit.as_mut().poll(context));
+                        self.source = Source::Ended;
+                        return Poll::Ready(Some(Err(AnswerError::TimeOver)));
+                    }
+                };
+                match resumed {
+                    Some((incoming, attempt)) => {
+                        self.source = Source::Sending {
+                            exchange,
+                            incoming,
+                            attempt,
+                        };
+                        self.reset_stall();
+                    }
+                    None => {
+                        exchange.outcome = Outcome::BrokenOff;
+                        self.source = Source::Ended;
+                        return Poll::Ready(Some(Err(AnswerError::BrokenOff)));
+                    }
+                }
+            }
+            match ready!(self.poll_step(context)) {
+                Step::Data(bytes) => {
+                    let bytes = match &mut self.splitter {
+                        Some(splitter) => splitter.push(&bytes),
+                        None => bytes,
+                    };
+                    if !bytes.is_empty() {
+                        return Poll::Ready(Some(Ok(Frame::data(bytes))));
+                    }
+                }
+                Step::End => return Poll::Ready(self.end()),
+                Step::Broken(failure) => {
+                    if !self.try_resume(failure) {
+                        return Poll::Ready(Some(Err(AnswerError::BrokenOff)));
+                    }
+                }
+                Step::TimeOver => {
+                    self.finish(Outcome::BrokenOff);
+                    return Poll::Ready(Some(Err(AnswerError::TimeOver)));
+                }
+            }
+        }
+    }
+
+    fn poll_step(&mut self, context: &mut Context<'_>) -> Poll<Step> {
+        let Source::Sending {
+            incoming, attempt, ..
+        } = &mut self.source
+        else {
+            return Poll::Ready(Step::End);
+        };
+        match Pin::new(incoming).poll_frame(context) {
+            Poll::Ready(Some(Ok(frame))) => {
+                attempt.on_bytes();
+                self.reset_stall();
+                let bytes = frame.into_data().unwrap_or_default();
+                return Poll::Ready(Step::Data(bytes));
+            }
+            Poll::Ready(Some(Err(_))) => return Poll::Ready(Step::Broken(AttemptFailure::Broken)),
+            Poll::Ready(None) => {
+                let torn = self.splitter.as_ref().is_some_and(EventSplitter::is_torn);
+                return Poll::Ready(if torn {
+                    Step::Broken(AttemptFailure::Broken)
+                } else {
+                    Step::End
+                });
+            }
+            Poll::Pending => {}
+        }
+        if self.limit.as_mut().poll(context).is_ready() {
+            return Poll::Ready(Step::TimeOver);
+        }
+        if let Some(stall) = &mut self.stall {
+            if stall.as_mut().poll(context).is_ready() {
+                return Poll::Ready(Step::Broken(AttemptFailure::Silent));
+            }
+        }
+        Poll::Pending
+    }
+
+    fn reset_stall(&mut self) {
+        if let Some(stall) = &mut self.stall {
+            stall.as_mut().reset((Instant::now() + STALL).into());
+        }
+    }
+
+    /// Continues elsewhere; false if that is not allowed.
+    fn try_resume(&mut self, failure: AttemptFailure) -> bool {
+        let Source::Sending {
+            mut exchange,
+            attempt,
+            ..
+        } = std::mem::replace(&mut self.source, Source::Ended)
+        else {
+            return false;
+        };
+        if failure == AttemptFailure::Silent {
+            attempt.on_unreachable();
+        } else {
+            attempt.on_failure();
+        }
+        drop(attempt);
+        let Some(splitter) = &mut self.splitter else {
+            exchange.outcome = Outcome::BrokenOff;
+            return false;
+        };
+        splitter.discard();
+        let after = splitter.last_id().map(str::to_owned);
+        self.source = Source::Resuming(
+            async move {
+                let resumed = exchange.resume(after.as_deref(), failure).await;
+                (exchange, resumed)
+            }
+            .boxed_local(),
+        );
+        true
+    }
+
+    fn end(&mut self) -> Option<Result<Frame<Bytes>, AnswerError>> {
+        let status = self.status;
+        self.finish(Outcome::Answered(status));
+        None
+    }
+
+    fn finish(&mut self, outcome: Outcome) {
+        if let Source::Sending {
+            mut exchange,
+            attempt,
+            ..
+        } = std::mem::replace(&mut self.source, Source::Ended)
+        {
+            exchange.outcome = outcome;
+            if matches!(outcome, Outcome::Answered(_)) {
+                attempt.finish();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/stacktack-direct/src/app.rs
@@ -0,0 +1,118 @@
+//! A direct router's process: start, signals, stop.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::StatusCode;
+use stacktack_node::metrics::{Metrics, MetricsError};
+use stacktack_node::signals::wait_for_stop;
+use thiserror::Error;
+use tokio::time::{sleep, sleep_until, Instant};
+
+use crate::followers::{follow_configuration, follow_directory, Dependency};
+use crate::metrics::DirectMetrics;
+use crate::ports::{ConfigurationSource, Directory, Protocol};
+use crate::router::{Phase, Router};
+use crate::server::{accept_callers, listen, serve_small};
+use crate::settings::DirectSettings;
+
+/// Time after a stop signal in which new connections are still served: whoever
+/// sends callers here has to notice first.
+const LOOK_AWAY: Duration = Duration::from_millis(2600);
+
+/// Time between looks at open connections while stopping.
+const STOP_POLL: Duration = Duration::from_millis(50);
+
+/// Time between clean-ups of resting connections and old places.
+const CLEAN_UP: Duration = Duration::from_secs(1);
+
+/// Time before the end of the grace at which the process ends by itself.
+const GRACE_MARGIN: Duration = Duration::from_millis(100);
+
+/// Why a direct router ended early.
+#[derive(Debug, Error)]
+pub enum DirectError {
+    /// Sockets or signals failed.
+    #[error("input or output failed: {0}")]
+    Io(#[from] std::io::Error),
+    /// Metrics could not be set up.
+    #[error(transparent)]
+    Metrics(#[from] MetricsError),
+}
+
+/// What an adapter supplies.
+pub struct Ports {
+    /// Protocols towards callers and back ends.
+    pub protocol: Rc<dyn Protocol>,
+    /// Source of the configuration.
+    pub configuration: Rc<dyn ConfigurationSource>,
+    /// Directory of back ends.
+    pub directory: Rc<dyn Directory>,
+}
+
+/// Runs a direct router until it is told to stop.
+pub async fn run(settings: DirectSettings, ports: Ports) -> Result<(), DirectError> {
+    let metrics = Metrics::new()?;
+    let instruments = DirectMetrics::new(&metrics.meter());
+    let callers = listen(settings.callers)?;
+    let readiness = listen(settings.readiness)?;
+    let figures = listen(settings.metrics)?;
+    log::info!(target: "router", "started name={} zone={} callers={}", settings.name, settings.zone, settings.callers);
+    let grace = settings.bounds.grace;
+    let router = Rc::new(Router::new(settings, ports.protocol, instruments));
+    let store = Rc::new(Dependency::new("store"));
+    actix_rt::spawn(follow_configuration(
+        router.clone(),
+        ports.configuration,
+        store.clone(),
+    ));
+    actix_rt::spawn(follow_directory(router.clone(), ports.directory, store));
+    actix_rt::spawn(accept_callers(router.clone(), callers));
+    actix_rt::spawn(serve_readiness(router.clone(), readiness));
+    actix_rt::spawn(serve_small(figures, move |_| match metrics.render() {
+        Ok(text) => (StatusCode::OK, Bytes::from(text)),
+        Err(_) => (StatusCode::INTERNAL_SERVER_ERROR, Bytes::new()),
+    }));
+    actix_rt::spawn(clean_up(router.clone()));
+    wait_for_stop().await?;
+    stop(&router, grace).await;
+    Ok(())
+}
+
+async fn serve_readiness(router: Rc<Router>, listener: tokio::net::TcpListener) {
+    serve_small(listener, move |_| {
+        let status = if router.is_ready() {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        };
+        (status, Bytes::new())
+    })
+    .await;
+}
+
+async fn clean_up(router: Rc<Router>) {
+    loop {
+        sleep(CLEAN_UP).await;
+        router
+            .connections
+            .borrow_mut()
+            .expire(std::time::Instant::now());
+        let now = router.now();
+        router.places.borrow_mut().expire(now);
+    }
+}
+
+/// Says that it stops, serves who still comes, then waits for what is under way.
+async fn stop(router: &Router, grace: Duration) {
+    let end = Instant::now() + grace - GRACE_MARGIN;
+    log::info!(target: "router", "stopping open_connections={}", router.open_connections.get());
+    router.phase.send_replace(Phase::Closing);
+    sleep(LOOK_AWAY).await;
+    router.phase.send_replace(Phase::Draining);
+    while router.open_connections.get() > 0 && Instant::now() < end {
+        sleep_until((Instant::now() + STOP_POLL).min(end)).await;
+    }
+    log::info!(target: "router", "stopped open_connections={}", router.open_connections.get());
+}
--- /dev/null
+++ b/crates/stacktack-direct/src/attempt.rs
@@ -0,0 +1,142 @@
+//! One attempt at one back end: its connection and its place in the counts.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Instant;
+
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::http::response;
+use hyper::Response;
+use stacktack_core::direct::attempt::AttemptFailure;
+use stacktack_core::direct::back_end::BackEnd;
+
+use crate::client::ClientConnection;
+use crate::ports::BackEndAnswer;
+use crate::router::Router;
+
+/// A failed answer of a back end, kept in case no better one comes.
+pub struct StoredAnswer {
+    /// Head.
+    pub head: response::Parts,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// How an attempt ended.
+pub enum AttemptEnd {
+    /// The head of an answer that can go to the caller.
+    Answer(Response<Incoming>, Attempt),
+    /// No such answer.
+    Failure(AttemptFailure, Option<StoredAnswer>),
+    /// There was nobody to ask.
+    NoBackEnd,
+}
+
+/// An attempt under way. Dropping it closes its connection, which cancels the
+/// request at the back end, and takes it out of the counts.
+pub struct Attempt {
+    router: Rc<Router>,
+    /// Id of the back end.
+    pub back_end: String,
+    /// Its address.
+    pub address: SocketAddr,
+    /// The connection, once the head of the answer is there.
+    pub connection: Option<ClientConnection>,
+    written: Instant,
+    rest_seconds: Option<u64>,
+}
+
+impl Attempt {
+    /// Counts the attempt at its back end; `None` if that is not known any more.
+    pub fn begin(router: Rc<Router>, back_end: &str) -> Option<Self> {
+        let now = router.now();
+        let address = {
+            let mut back_ends = router.back_ends.borrow_mut();
+            let known = back_ends.get_mut(back_end)?;
+            known.on_send(now);
+            known.entry.address
+        };
+        Some(Attempt {
+            router,
+            back_end: back_end.to_owned(),
+            address,
+            connection: None,
+            written: Instant::now(),
+            rest_seconds: None,
+        })
+    }
+
+    fn with_back_end(&self, act: impl FnOnce(&mut BackEnd)) {
+        if let Some(back_end) = self.router.back_ends.borrow_mut().get_mut(&self.back_end) {
+            act(back_end);
+        }
+    }
+
+    /// The request is about to be written.
+    pub fn on_write(&mut self) {
+        self.written = Instant::now();
+    }
+
+    /// The head of an answer came.
+    pub fn on_head(&mut self, told: &BackEndAnswer) {
+        self.rest_seconds = told.rest_seconds;
+        let now = self.router.now();
+        let after = self.written.elapsed();
+        self.with_back_end(|back_end| {
+            back_end.on_bytes(now);
+            back_end.on_first_byte(after);
+        });
+    }
+
+    /// Bytes of the answer came.
+    pub fn on_bytes(&self) {
+        let now = self.router.now();
+        self.with_back_end(|back_end| back_end.on_bytes(now));
+    }
+
+    /// The back end failed the request.
+    pub fn on_failure(&self) {
+        self.with_back_end(|back_end| back_end.on_outcome(true));
+    }
+
+    /// The back end could not be reached or fell silent.
+    pub fn on_unreachable(&self) {
+        let now = self.router.now();
+        let mut ejected = false;
+        self.with_back_end(|back_end| {
+            back_end.on_outcome(true);
+            ejected = back_end.on_unreachable(now);
+        });
+        if ejected {
+            log::info!(target: "belief", "back_end={} ejected=true cause=unreachable", self.back_end);
+        }
+    }
+
+    /// The address belongs to another instance: this one is gone.
+    pub fn on_other_instance(&self) {
+        let now = self.router.now();
+        self.with_back_end(|back_end| {
+            back_end.on_unreachable(now);
+            back_end.on_unreachable(now);
+        });
+        log::info!(target: "belief", "back_end={} ejected=true cause=other_instance", self.back_end);
+    }
+
+    /// The answer is whole: the connection may serve another request.
+    pub fn finish(mut self) {
+        self.with_back_end(|back_end| back_end.on_outcome(false));
+        if let Some(connection) = self.connection.take() {
+            if connection.is_open() {
+                let mut resting = self.router.connections.borrow_mut();
+                resting.put(self.address, connection, self.rest_seconds, Instant::now());
+            }
+        }
+    }
+}
+
+impl Drop for Attempt {
+    fn drop(&mut self) {
+        self.with_back_end(BackEnd::on_end);
+    }
+}
--- /dev/null
+++ b/crates/stacktack-direct/src/client.rs
@@ -0,0 +1,132 @@
+//! HTTP/1.1 client connections, one by one.
+//!
+//! What a connection did decides what is certain about a request, so nothing
+//! here repeats, redirects or pools. A connection that is dropped is closed at
+//! once, which is how a request under way is cancelled.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+
+/// Time after which unacknowledged bytes break a connection.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(1500);
+
+/// Largest head and unread part that are buffered for one connection, in bytes.
+const BUFFER_BYTES: usize = 64 * 1024;
+
+/// No connection came up.
+#[derive(Debug, Error)]
+pub enum ConnectError {
+    /// No answer came in time.
+    #[error("connecting took too long")]
+    Timeout,
+    /// The connection was refused or failed.
+    #[error("connecting failed: {0}")]
+    Io(#[from] std::io::Error),
+    /// The HTTP connection could not be set up.
+    #[error("the connection could not be set up: {0}")]
+    Http(#[from] hyper::Error),
+}
+
+/// A request got no answer.
+#[derive(Debug, Error)]
+pub enum SendError {
+    /// Nothing of it was written.
+    #[error("nothing was written")]
+    NotWritten,
+    /// No answer came in time.
+    #[error("no answer came in time")]
+    Silent,
+    /// The connection broke after something may have been written.
+    #[error("the connection broke: {0}")]
+    Broken(hyper::Error),
+}
+
+/// An open connection. Dropping it closes it.
+#[derive(Debug)]
+pub struct ClientConnection {
+    sender: SendRequest<Full<Bytes>>,
+    driver: Driver,
+}
+
+/// The task that drives a connection; ends with its owner.
+#[derive(Debug)]
+struct Driver(JoinHandle<()>);
+
+impl Drop for Driver {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+impl ClientConnection {
+    /// Connects within a time limit.
+    pub async fn open(address: SocketAddr, limit: Duration) -> Result<Self, ConnectError> {
+        let stream = timeout(limit, TcpStream::connect(address))
+            .await
+            .map_err(|_| ConnectError::Timeout)??;
+        stream.set_nodelay(true)?;
+        SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await?;
+        let driver = Driver(actix_rt::spawn(async move {
+            // A failure reaches whoever waits for the answer.
+            let _ = connection.await;
+        }));
+        Ok(ClientConnection { sender, driver })
+    }
+
+    /// Whether the connection can take a request.
+    pub fn is_open(&self) -> bool {
+        !self.sender.is_closed() && !self.driver.0.is_finished()
+    }
+
+    /// Whether the connection waits for a request: the one before is over on
+    /// both sides.
+    pub fn is_ready(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, SendError> {
+        self.sender
+            .try_send_request(request)
+            .await
+            .map_err(|mut error| match error.take_message() {
+                Some(_) => SendError::NotWritten,
+                None => SendError::Broken(error.into_error()),
+            })
+    }
+}
+
+/// Sends a request and reads its whole answer within a time limit.
+pub async fn whole_answer(
+    connection: &mut ClientConnection,
+    request: Request<Full<Bytes>>,
+    limit: Duration,
+) -> Result<Response<Bytes>, SendError> {
+    let exchange = async {
+        let (head, body) = connection.send(request).await?.into_parts();
+        let body = body.collect().await.map_err(SendError::Broken)?;
+        Ok(Response::from_parts(head, body.to_bytes()))
+    };
+    timeout(limit, exchange)
+        .await
+        .unwrap_or(Err(SendError::Silent))
+}
--- /dev/null
+++ b/crates/stacktack-direct/src/followers.rs
@@ -0,0 +1,236 @@
+//! Followers of the configuration and of the directory: when to ask again and
+//! what to believe.
+
+use std::cell::Cell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::RngExt;
+use stacktack_core::direct::back_end::DirectoryChange;
+use stacktack_core::time::Time;
+use tokio::sync::Notify;
+use tokio::time::{sleep, timeout};
+
+use crate::ports::{ConfigurationSource, Directory, DirectoryNews, SourceError};
+use crate::router::Router;
+
+/// Longest wait for news of the configuration in one call.
+const CONFIGURATION_WAIT: Duration = Duration::from_secs(20);
+
+/// Time beyond the wait after which a call counts as lost.
+const CALL_SLACK: Duration = Duration::from_secs(2);
+
+/// Time between reads of the directory.
+const DIRECTORY_INTERVAL: Duration = Duration::from_millis(800);
+
+/// Pauses after a failed call: the first, and the longest.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+const LONGEST_PAUSE: Duration = Duration::from_millis(700);
+
+/// Whether a dependency answers; tells when it comes back.
+pub struct Dependency {
+    name: &'static str,
+    lost_since: Cell<Option<Time>>,
+    /// When it last came back.
+    regained: Cell<Time>,
+    returned: Notify,
+}
+
+impl Dependency {
+    /// A dependency that is taken to answer.
+    pub fn new(name: &'static str) -> Self {
+        Dependency {
+            name,
+            lost_since: Cell::new(None),
+            regained: Cell::new(Time(0)),
+            returned: Notify::new(),
+        }
+    }
+
+    fn on_answer(&self, now: Time) {
+        if let Some(since) = self.lost_since.take() {
+            self.regained.set(now);
+            log::info!(
+                target: "dependency",
+                "name={} regained=true after_ms={}",
+                self.name,
+                now.since(since).as_millis()
+            );
+            self.returned.notify_waiters();
+        }
+    }
+
+    fn on_failure(&self, now: Time, error: SourceError) {
+        if self.lost_since.get().is_none() {
+            self.lost_since.set(Some(now));
+            log::warn!(target: "dependency", "name={} lost=true cause=\"{error}\"", self.name);
+        }
+    }
+
+    /// Whether it answered all the time within the last `span`.
+    fn is_settled(&self, now: Time, span: Duration) -> bool {
+        let regained = self.regained.get();
+        let steady = regained == Time(0) || now.since(regained) >= span;
+        self.lost_since.get().is_none() && steady
+    }
+}
+
+/// Pause before the next try; grows, and is spread so that a fleet does not
+/// come back all at once.
+struct Pause(Duration);
+
+impl Pause {
+    fn new() -> Self {
+        Pause(FIRST_PAUSE)
+    }
+
+    fn reset(&mut self) {
+        self.0 = FIRST_PAUSE;
+    }
+
+    async fn take(&mut self) {
+        let spread = rand::rng().random_range(0.5..=1.0);
+        sleep(self.0.mul_f64(spread)).await;
+        self.0 = (self.0 * 2).min(LONGEST_PAUSE);
+    }
+}
+
+/// Follows the configuration for ever.
+pub async fn follow_configuration(
+    router: Rc<Router>,
+    source: Rc<dyn ConfigurationSource>,
+    store: Rc<Dependency>,
+) {
+    let mut after = None;
+    let mut pause = Pause::new();
+    loop {
+        let call = timeout(
+            CONFIGURATION_WAIT + CALL_SLACK,
+            source.configuration(after, CONFIGURATION_WAIT),
+        );
+        let result = tokio::select! {
+            result = call => result.unwrap_or(Err(SourceError::Silent)),
+            // A call that waits may have been lost with the outage.
+            _ = store.returned.notified() => {
+                after = None;
+                continue;
+            }
+        };
+        match result {
+            Ok(news) => {
+                pause.reset();
+                after = Some(news.revision);
+                if news.invalid {
+                    log::warn!(target: "configuration", "revision={} adopted=false cause=invalid", news.revision);
+                }
+                if let Some(configuration) = news.configuration {
+                    router.adopt(Arc::new(configuration));
+                }
+            }
+            Err(SourceError::HistoryGone) => after = None,
+            Err(error) => {
+                log::debug!(target: "configuration", "call failed: {error}");
+                pause.take().await;
+            }
+        }
+    }
+}
+
+/// Follows the directory for ever.
+pub async fn follow_directory(
+    router: Rc<Router>,
+    directory: Rc<dyn Directory>,
+    store: Rc<Dependency>,
+) {
+    let mut follower = DirectoryFollower {
+        router,
+        missing: HashMap::new(),
+    };
+    let mut after = None;
+    let mut pause = Pause::new();
+    loop {
+        let call = timeout(CALL_SLACK, directory.back_ends(after));
+        let result = call.await.unwrap_or(Err(SourceError::Silent));
+        let now = follower.router.now();
+        match result {
+            Ok(news) => {
+                pause.reset();
+                store.on_answer(now);
+                after = Some(news.revision);
+                let settled = store.is_settled(now, follower.router.settings.bounds.settle);
+                follower.take(news, now, settled);
+                sleep(DIRECTORY_INTERVAL).await;
+            }
+            Err(SourceError::HistoryGone) => after = None,
+            Err(error) => {
+                store.on_failure(now, error);
+                pause.take().await;
+            }
+        }
+    }
+}
+
+struct DirectoryFollower {
+    router: Rc<Router>,
+    /// Entries that vanished while the store was not settled: they may only
+    /// have been unable to renew themselves.
+    missing: HashMap<String, Time>,
+}
+
+impl DirectoryFollower {
+    fn take(&mut self, news: DirectoryNews, now: Time, settled: bool) {
+        let mut change = DirectoryChange::default();
+        let mut gone = news.gone;
+        {
+            let mut back_ends = self.router.back_ends.borrow_mut();
+            if news.whole {
+                let listed: std::collections::HashSet<&str> =
+                    news.present.iter().map(|entry| entry.id.as_str()).collect();
+                gone.extend(
+                    back_ends
+                        .ids()
+                        .filter(|id| !listed.contains(id))
+                        .map(str::to_owned),
+                );
+            }
+            for entry in news.present {
+                self.missing.remove(&entry.id);
+                back_ends.upsert(entry, now, &mut change);
+            }
+            for id in gone {
+                if settled {
+                    back_ends.remove(&id, &mut change);
+                } else {
+                    self.missing.entry(id).or_insert(now);
+                }
+            }
+            if settled {
+                for (id, _) in self.missing.drain() {
+                    back_ends.remove(&id, &mut change);
+                }
+            }
+        }
+        self.report(&change, news.revision);
+        for id in &news.invalid {
+            log::warn!(target: "directory", "back_end={id} taken=false cause=invalid_row");
+        }
+    }
+
+    fn report(&self, change: &DirectoryChange, revision: u64) {
+        let lists = [
+            ("joined", &change.joined),
+            ("leaving", &change.leaving),
+            ("gone", &change.gone),
+        ];
+        for (word, ids) in lists {
+            for id in ids {
+                log::info!(target: "directory", "back_end={id} now={word} revision={revision}");
+            }
+        }
+        for id in &change.gone {
+            self.router.places.borrow_mut().forget_back_end(id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/stacktack-direct/src/lib.rs
@@ -0,0 +1,26 @@
+//! The direct router: a caller's request is forwarded straight to a back end
+//! that has no agent beside it.
+//!
+//! Decisions are in [`stacktack_core::direct`]; this crate carries them out
+//! over HTTP connections that it controls one by one, since what a connection
+//! did decides what is certain about a request. It knows no names of the
+//! platform that it runs on: those come through [`ports`].
+//!
+//! - [`ports`]: what an adapter supplies.
+//! - [`app`]: start, signals, stop.
+//! - `server`: callers' connections. `exchange`: one request from head to end.
+//!   `answer`: bodies on their way to callers. `connection`: back-end connections.
+//! - `followers`: configuration and directory. `router`: state of the process.
+
+mod answer;
+pub mod app;
+mod attempt;
+pub mod client;
+mod connection;
+mod exchange;
+mod followers;
+pub mod metrics;
+pub mod ports;
+mod router;
+mod server;
+pub mod settings;
--- /dev/null
+++ b/crates/stacktack-direct/src/metrics.rs
@@ -0,0 +1,67 @@
+//! Counters and latency histograms of a direct router.
+
+use opentelemetry::metrics::{Counter, Histogram, Meter};
+use opentelemetry::KeyValue;
+
+/// Instruments of one process.
+pub struct DirectMetrics {
+    requests: Counter<u64>,
+    attempts: Counter<u64>,
+    retries: Counter<u64>,
+    first_byte: Histogram<f64>,
+    whole: Histogram<f64>,
+}
+
+/// Bounds of the latency histograms, in seconds.
+const LATENCY_BOUNDS: [f64; 10] = [0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 2.5, 10.0];
+
+impl DirectMetrics {
+    /// Registers the instruments.
+    pub fn new(meter: &Meter) -> Self {
+        let latency = |name, description| {
+            meter
+                .f64_histogram(name)
+                .with_unit("s")
+                .with_description(description)
+                .with_boundaries(LATENCY_BOUNDS.to_vec())
+                .build()
+        };
+        DirectMetrics {
+            requests: meter
+                .u64_counter("stacktack_requests")
+                .with_description("Requests by outcome")
+                .build(),
+            attempts: meter
+                .u64_counter("stacktack_attempts")
+                .with_description("Attempts at back ends by end")
+                .build(),
+            retries: meter
+                .u64_counter("stacktack_retries")
+                .with_description("Repeated sends by whether the budget allowed them")
+                .build(),
+            first_byte: latency("stacktack_first_byte", "Time to the head of the answer"),
+            whole: latency("stacktack_whole_answer", "Time to the end of the answer"),
+        }
+    }
+
+    /// Counts the end of a request.
+    pub fn count_request(&self, outcome: &'static str, whole_seconds: f64) {
+        self.requests.add(1, &[KeyValue::new("outcome", outcome)]);
+        self.whole.record(whole_seconds, &[]);
+    }
+
+    /// Counts the end of an attempt.
+    pub fn count_attempt(&self, end: &'static str) {
+        self.attempts.add(1, &[KeyValue::new("end", end)]);
+    }
+
+    /// Counts a wish for a repeated send.
+    pub fn count_retry(&self, allowed: bool) {
+        self.retries.add(1, &[KeyValue::new("allowed", allowed)]);
+    }
+
+    /// Records the time to the head of an answer.
+    pub fn record_first_byte(&self, seconds: f64) {
+        self.first_byte.record(seconds, &[]);
+    }
+}
--- /dev/null
+++ b/crates/stacktack-direct/src/ports.rs
@@ -0,0 +1,219 @@
+//! What an adapter supplies: protocols towards callers and back ends, the
+//! source of the configuration and the directory of back ends.
+//!
+//! Each port translates one message or makes one call. When to call again,
+//! what to believe and what to do about a failure is decided by the router.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+pub use futures_util::future::LocalBoxFuture;
+use hyper::http::{request, response};
+use hyper::{HeaderMap, Response};
+use stacktack_core::direct::back_end::BackEndEntry;
+use stacktack_core::direct::prompt::PromptChain;
+use stacktack_core::direct::route::TrafficConfiguration;
+use thiserror::Error;
+
+/// What a caller's request says beside its method, path and body.
+#[derive(Clone, Debug, Default)]
+pub struct CallerRequest {
+    /// Id of this attempt of the caller's.
+    pub id: Option<String>,
+    /// Time that the caller will wait.
+    pub patience: Option<Duration>,
+    /// The caller's key.
+    pub key: Option<String>,
+    /// The parts of the prompt.
+    pub prompt: PromptChain,
+    /// Event after which a stream is to be continued.
+    pub resume_after: Option<String>,
+}
+
+/// What a router tells a back end beside the caller's request.
+#[derive(Clone, Debug)]
+pub struct ForwardOrder<'a> {
+    /// Id of the life of the back end that is meant.
+    pub instance: &'a str,
+    /// Time that remains.
+    pub remaining: Duration,
+    /// Tenant that the caller's key belongs to.
+    pub tenant: Option<&'a str>,
+    /// Event after which the stream is to be continued.
+    pub resume_after: Option<&'a str>,
+    /// Back end from which cached prompt parts are to be copied first.
+    pub fetch_from: Option<SocketAddr>,
+    /// Rank among the requests at the back end; 0 is the most urgent.
+    pub priority: u8,
+}
+
+/// Load that a back end reports in its answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReportedLoad {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that can run at once.
+    pub slots: u32,
+}
+
+/// What the head of a back end's answer says.
+#[derive(Clone, Debug, Default)]
+pub struct BackEndAnswer {
+    /// Id of the request that it answers.
+    pub id: Option<String>,
+    /// The back end says that it did not run the request.
+    pub not_run: bool,
+    /// The address belongs to another instance.
+    pub other_instance: bool,
+    /// Load, if told.
+    pub load: Option<ReportedLoad>,
+    /// Seconds that the connection may rest, if told.
+    pub rest_seconds: Option<u64>,
+}
+
+/// Why a router answers a request itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum RefusalKind {
+    /// No route serves host and path.
+    NoRoute,
+    /// No key, or an unknown one.
+    UnknownKey,
+    /// The head lacks what it must have.
+    Malformed,
+    /// The body is over the limit.
+    BodyTooLarge,
+    /// The body did not arrive in time.
+    BodyTimeout,
+    /// The router knows no configuration yet.
+    NotReady,
+    /// No back end can take the request now.
+    NoBackEnd,
+    /// Back ends refused it; it did not run.
+    Rejected,
+    /// It may have run and its answer is lost.
+    Lost,
+    /// The time that it had is over.
+    TimeOver,
+}
+
+impl RefusalKind {
+    /// Whether it is certain that the request did not run.
+    pub fn promises_not_run(self) -> bool {
+        !matches!(self, RefusalKind::Lost | RefusalKind::TimeOver)
+    }
+
+    /// Fixed word for logs and metrics.
+    pub fn word(self) -> &'static str {
+        match self {
+            RefusalKind::NoRoute => "no_route",
+            RefusalKind::UnknownKey => "unknown_key",
+            RefusalKind::Malformed => "malformed",
+            RefusalKind::BodyTooLarge => "body_too_large",
+            RefusalKind::BodyTimeout => "body_timeout",
+            RefusalKind::NotReady => "not_ready",
+            RefusalKind::NoBackEnd => "no_back_end",
+            RefusalKind::Rejected => "rejected",
+            RefusalKind::Lost => "lost",
+            RefusalKind::TimeOver => "time_over",
+        }
+    }
+}
+
+/// A router's own answer to a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Refusal {
+    /// Why.
+    pub kind: RefusalKind,
+    /// When to come back, for requests that did not run.
+    pub retry_after: Option<Duration>,
+}
+
+/// The protocols towards callers and back ends.
+pub trait Protocol {
+    /// Reads a caller's request head.
+    fn read_request(&self, head: &request::Parts) -> CallerRequest;
+
+    /// Headers of the request as a back end gets it.
+    fn forward_headers(&self, caller: &HeaderMap, order: &ForwardOrder<'_>) -> HeaderMap;
+
+    /// Reads the head of a back end's answer.
+    fn read_answer(&self, head: &response::Parts) -> BackEndAnswer;
+
+    /// Headers of a back end's answer as the caller gets it.
+    fn answer_headers(&self, back_end: &HeaderMap) -> HeaderMap;
+
+    /// A router's own answer.
+    fn refuse(&self, refusal: &Refusal, id: Option<&str>) -> Response<Bytes>;
+}
+
+/// Why a call to a source of beliefs failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum SourceError {
+    /// No connection came up.
+    #[error("no connection came up")]
+    Unreached,
+    /// No answer came in time.
+    #[error("no answer came in time")]
+    Silent,
+    /// The connection broke.
+    #[error("the connection broke")]
+    Broken,
+    /// The call was refused with this status.
+    #[error("refused with status {0}")]
+    Refused(u16),
+    /// The history after the given revision is gone: read everything anew.
+    #[error("the history is gone")]
+    HistoryGone,
+    /// The answer does not parse.
+    #[error("the answer does not parse")]
+    Malformed,
+}
+
+/// News of the configuration.
+#[derive(Debug)]
+pub struct ConfigurationNews {
+    /// Revision up to which the news is complete.
+    pub revision: u64,
+    /// The newest configuration, if there is news of it.
+    pub configuration: Option<TrafficConfiguration>,
+    /// Whether a configuration was there that is not valid.
+    pub invalid: bool,
+}
+
+/// News of the directory.
+#[derive(Debug, Default)]
+pub struct DirectoryNews {
+    /// Revision up to which the news is complete.
+    pub revision: u64,
+    /// Whether `present` is the whole directory.
+    pub whole: bool,
+    /// Entries that are there or changed.
+    pub present: Vec<BackEndEntry>,
+    /// Ids that are gone.
+    pub gone: Vec<String>,
+    /// Rows that do not parse; they are left out.
+    pub invalid: Vec<String>,
+}
+
+/// Source of the configuration.
+pub trait ConfigurationSource {
+    /// Everything (`after` is `None`), or news after a revision, waiting up to
+    /// `wait` for some.
+    fn configuration(
+        &self,
+        after: Option<u64>,
+        wait: Duration,
+    ) -> LocalBoxFuture<'_, Result<ConfigurationNews, SourceError>>;
+}
+
+/// Directory of back ends.
+pub trait Directory {
+    /// Everything (`after` is `None`), or news after a revision.
+    fn back_ends(
+        &self,
+        after: Option<u64>,
+    ) -> LocalBoxFuture<'_, Result<DirectoryNews, SourceError>>;
+}
--- /dev/null
+++ b/crates/stacktack-direct/src/router.rs
@@ -0,0 +1,183 @@
+//! State of a direct router's process. One thread owns it.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Instant;
+
+use stacktack_core::configuration::selector::{matches_all, Requirement};
+use stacktack_core::direct::back_end::{BackEnds, ZONE_LABEL};
+use stacktack_core::direct::budget::SharedRetryBudget;
+use stacktack_core::direct::places::PrefixPlaces;
+use stacktack_core::direct::route::TrafficConfiguration;
+use stacktack_core::direct::select::DirectCandidate;
+use stacktack_core::time::Time;
+use tokio::sync::watch;
+
+use crate::connection::RestingConnections;
+use crate::metrics::DirectMetrics;
+use crate::ports::Protocol;
+use crate::settings::DirectSettings;
+
+/// How far a process is on its way to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// Takes requests.
+    Serving,
+    /// Takes requests, but says that each connection ends with its answer.
+    Closing,
+    /// Closes resting connections; answers under way end.
+    Draining,
+}
+
+/// State of the process.
+pub struct Router {
+    /// Settings.
+    pub settings: DirectSettings,
+    /// The protocols towards callers and back ends.
+    pub protocol: Rc<dyn Protocol>,
+    /// The configuration in force.
+    pub configuration: RefCell<Option<Arc<TrafficConfiguration>>>,
+    /// What is believed of back ends.
+    pub back_ends: RefCell<BackEnds>,
+    /// Resting connections to back ends.
+    pub connections: RefCell<RestingConnections>,
+    /// Where prompt parts were last read.
+    pub places: RefCell<PrefixPlaces>,
+    /// Retry budget by pool.
+    budgets: RefCell<HashMap<String, SharedRetryBudget>>,
+    /// Routers that are believed to share the retry budget.
+    pub routers: Cell<usize>,
+    /// Counters and histograms.
+    pub metrics: DirectMetrics,
+    /// How far the process is on its way to its end.
+    pub phase: watch::Sender<Phase>,
+    /// Open callers' connections.
+    pub open_connections: Cell<usize>,
+    origin: Instant,
+}
+
+/// Routers that are assumed to share the retry budget until more is known.
+const ASSUMED_ROUTERS: usize = 6;
+
+impl Router {
+    /// A router that knows nothing yet.
+    pub fn new(
+        settings: DirectSettings,
+        protocol: Rc<dyn Protocol>,
+        metrics: DirectMetrics,
+    ) -> Self {
+        Router {
+            settings,
+            protocol,
+            configuration: RefCell::default(),
+            back_ends: RefCell::default(),
+            connections: RefCell::default(),
+            places: RefCell::default(),
+            budgets: RefCell::default(),
+            routers: Cell::new(ASSUMED_ROUTERS),
+            metrics,
+            phase: watch::Sender::new(Phase::Serving),
+            open_connections: Cell::new(0),
+            origin: Instant::now(),
+        }
+    }
+
+    /// Time since the process started.
+    pub fn now(&self) -> Time {
+        Time(self.origin.elapsed().as_micros() as u64)
+    }
+
+    /// Whether callers should be sent here.
+    pub fn is_ready(&self) -> bool {
+        *self.phase.borrow() == Phase::Serving
+            && self.configuration.borrow().is_some()
+            && self.back_ends.borrow().working() > 0
+    }
+
+    /// Takes a configuration if it is newer than the one in force.
+    pub fn adopt(&self, configuration: Arc<TrafficConfiguration>) -> bool {
+        let mut known = self.configuration.borrow_mut();
+        let before = known.as_ref().map_or(0, |known| known.version);
+        let newer = known.is_none() || configuration.version > before;
+        if newer {
+            log::info!(
+                target: "configuration",
+                "version={} before={} routes={} adopted=true",
+                configuration.version,
+                before,
+                configuration.routes.len(),
+            );
+            *known = Some(configuration);
+        }
+        newer
+    }
+
+    /// Counts a request for its pool's retry budget.
+    pub fn count_request(&self, pool: &[Requirement]) {
+        let now = self.now();
+        self.with_budget(pool, |budget| budget.count_request(now));
+    }
+
+    /// Takes one repeated send to a pool from the budget.
+    pub fn take_retry(&self, pool: &[Requirement]) -> bool {
+        let now = self.now();
+        let routers = self.routers.get();
+        let taken = self.with_budget(pool, |budget| budget.take(now, routers));
+        self.metrics.count_retry(taken);
+        taken
+    }
+
+    fn with_budget<T>(
+        &self,
+        pool: &[Requirement],
+        act: impl FnOnce(&mut SharedRetryBudget) -> T,
+    ) -> T {
+        let mut budgets = self.budgets.borrow_mut();
+        let name = pool_name(pool);
+        if !budgets.contains_key(name) {
+            let budget = SharedRetryBudget::new(self.settings.bounds.retries);
+            budgets.insert(name.to_owned(), budget);
+        }
+        match budgets.get_mut(name) {
+            Some(budget) => act(budget),
+            None => act(&mut SharedRetryBudget::new(self.settings.bounds.retries)),
+        }
+    }
+
+    /// Candidates of a pool, and their ids in the same order.
+    pub fn candidates(
+        &self,
+        pool: &[Requirement],
+        excluded: &[String],
+    ) -> (Vec<DirectCandidate>, Vec<String>) {
+        let now = self.now();
+        let back_ends = self.back_ends.borrow();
+        let members = back_ends.pool(now, |entry| {
+            matches_all(pool, &entry.labels) && !excluded.contains(&entry.id)
+        });
+        let mut candidates = Vec::with_capacity(members.len());
+        let mut ids = Vec::with_capacity(members.len());
+        for (index, (member, standing)) in members.into_iter().enumerate() {
+            let zone = member.entry.labels.get(ZONE_LABEL);
+            candidates.push(DirectCandidate {
+                index,
+                id_hash: member.id_hash,
+                load: member.load(),
+                slots: f64::from(member.entry.slots),
+                same_zone: zone == Some(&self.settings.zone),
+                standing,
+            });
+            ids.push(member.entry.id.clone());
+        }
+        (candidates, ids)
+    }
+}
+
+/// A short name of a pool, for logs, metrics and its retry budget.
+pub fn pool_name(pool: &[Requirement]) -> &str {
+    pool.iter()
+        .find_map(|requirement| requirement.equals.as_deref())
+        .unwrap_or("all")
+}
--- /dev/null
+++ b/crates/stacktack-direct/src/server.rs
@@ -0,0 +1,175 @@
+//! Callers' connections: one task each.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures_util::FutureExt;
+use http_body_util::Full;
+use hyper::header::{HeaderValue, CONNECTION};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::time::sleep;
+
+use crate::exchange;
+use crate::router::{Phase, Router};
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1024;
+
+/// Pause after a failed accept, for descriptors to come free.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Largest head that is buffered for one connection, in bytes, unless the
+/// configuration allows more.
+const BUFFER_BYTES: usize = 32 * 1024;
+
+/// Listens on an address.
+pub fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Accepts callers until the phase says that nothing new is taken.
+pub async fn accept_callers(router: Rc<Router>, listener: TcpListener) {
+    let mut phase = router.phase.subscribe();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    actix_rt::spawn(serve_caller(router.clone(), stream));
+                }
+                Err(error) => {
+                    log::warn!(target: "callers", "accepting failed: {error}");
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            },
+            _ = phase.wait_for(|phase| *phase == Phase::Draining) => return,
+        }
+    }
+}
+
+/// Keeps the count of open connections.
+struct OpenConnection(Rc<Router>);
+
+impl OpenConnection {
+    fn new(router: Rc<Router>) -> Self {
+        router
+            .open_connections
+            .set(router.open_connections.get() + 1);
+        OpenConnection(router)
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0
+            .open_connections
+            .set(self.0.open_connections.get() - 1);
+    }
+}
+
+/// Requests under way on one connection and the last change of that.
+#[derive(Default)]
+struct Activity {
+    under_way: Cell<bool>,
+    changed: Cell<Option<Instant>>,
+}
+
+impl Activity {
+    fn set(&self, under_way: bool) {
+        self.under_way.set(under_way);
+        self.changed.set(Some(Instant::now()));
+    }
+}
+
+async fn serve_caller(router: Rc<Router>, stream: TcpStream) {
+    let _open = OpenConnection::new(router.clone());
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let activity = Rc::new(Activity::default());
+    activity.set(false);
+    let service = {
+        let router = router.clone();
+        let activity = activity.clone();
+        service_fn(move |request| {
+            let router = router.clone();
+            let activity = activity.clone();
+            activity.set(true);
+            async move {
+                let mut response = exchange::answer(router.clone(), request).await;
+                if *router.phase.borrow() != Phase::Serving {
+                    let close = HeaderValue::from_static("close");
+                    response.headers_mut().insert(CONNECTION, close);
+                }
+                activity.set(false);
+                Ok::<_, Infallible>(response)
+            }
+        })
+    };
+    let limits = router
+        .configuration
+        .borrow()
+        .as_ref()
+        .map(|known| known.limits)
+        .unwrap_or_default();
+    let connection = http1::Builder::new()
+        .max_buf_size(BUFFER_BYTES.max(limits.header_bytes + 1024))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let mut phase = router.phase.subscribe();
+    let mut draining = phase
+        .wait_for(|phase| *phase == Phase::Draining)
+        .boxed_local()
+        .fuse();
+    loop {
+        tokio::select! {
+            _ = connection.as_mut() => return,
+            _ = &mut draining => connection.as_mut().graceful_shutdown(),
+            _ = sleep(limits.idle_timeout) => {
+                let rested = activity.changed.get().is_some_and(|at| at.elapsed() >= limits.idle_timeout);
+                if rested && !activity.under_way.get() {
+                    connection.as_mut().graceful_shutdown();
+                }
+            }
+        }
+    }
+}
+
+/// Serves small answers: readiness and metrics.
+pub async fn serve_small<F>(listener: TcpListener, answer: F)
+where
+    F: Fn(&str) -> (StatusCode, Bytes) + 'static,
+{
+    let answer = Rc::new(answer);
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let answer = answer.clone();
+        actix_rt::spawn(async move {
+            let service = service_fn(move |request: hyper::Request<hyper::body::Incoming>| {
+                let (status, body) = answer(request.uri().path());
+                async move {
+                    let mut response = Response::new(Full::new(body));
+                    *response.status_mut() = status;
+                    Ok::<_, Infallible>(response)
+                }
+            });
+            // A failed connection concerns only who asked.
+            let _ = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
--- /dev/null
+++ b/crates/stacktack-direct/src/settings.rs
@@ -0,0 +1,49 @@
+//! Settings of a direct router, as the adapter hands them over.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use stacktack_core::direct::budget::BudgetBound;
+
+/// Settings of one process; checked by whoever makes them.
+#[derive(Clone, Debug)]
+pub struct DirectSettings {
+    /// Unique name of the process.
+    pub name: String,
+    /// Zone that it stands in.
+    pub zone: String,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where readiness is asked.
+    pub readiness: SocketAddr,
+    /// Where metrics are served.
+    pub metrics: SocketAddr,
+    /// Where other routers send news, and addresses of a few of them.
+    pub peers: PeerSettings,
+    /// Bounds that operators set.
+    pub bounds: Bounds,
+}
+
+/// Addresses for news between routers.
+#[derive(Clone, Debug)]
+pub struct PeerSettings {
+    /// This router's own address.
+    pub listen: SocketAddr,
+    /// Addresses to begin with; they may be stale.
+    pub seeds: Vec<SocketAddr>,
+}
+
+/// Bounds that operators set.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Time between a stop signal and the end of the process at the latest.
+    pub grace: Duration,
+    /// The retry budget of the fleet.
+    pub retries: BudgetBound,
+    /// Load of a back end over the mean that is never exceeded on purpose.
+    pub load_cap: f64,
+    /// Time within which a leaving back end gets no new request.
+    pub drain: Duration,
+    /// Time for which the store counts as unstable after a disturbance.
+    pub settle: Duration,
+}
--- a/crates/stacktack-lab/src/app.rs
+++ b/crates/stacktack-lab/src/app.rs
@@ -1,8 +1,8 @@
 //! Reading the command line and running a command.
 
 use stacktack_core::protection::Rule;
-use stacktack_platform::logging;
-use stacktack_platform::settings::{read_or_exit, Flag, Settings, EXIT_FAILURE, EXIT_SETTINGS};
+use stacktack_node::logging;
+use stacktack_node::settings::{read_or_exit, Flag, Settings, EXIT_FAILURE, EXIT_SETTINGS};
 
 use crate::capacity;
 use crate::demo;
--- a/crates/stacktack-lab/src/error.rs
+++ b/crates/stacktack-lab/src/error.rs
@@ -1,7 +1,7 @@
 //! Why a command of the lab failed.
 
-use stacktack_platform::client::PlatformError;
-use stacktack_platform::configuration_store::StoreError;
+use stacktack_node::client::PlatformError;
+use stacktack_node::configuration_store::StoreError;
 use thiserror::Error;
 
 /// A command of the lab failed.
--- a/crates/stacktack-lab/src/fleet.rs
+++ b/crates/stacktack-lab/src/fleet.rs
@@ -10,8 +10,8 @@
     BackEnd, BackEndKind, Document, Limits, Model, Service, Tenant,
 };
 use stacktack_core::configuration::hash_key;
-use stacktack_platform::client::PlatformClient;
-use stacktack_platform::configuration_store::{apply_document, read_head};
+use stacktack_node::client::PlatformClient;
+use stacktack_node::configuration_store::{apply_document, read_head};
 
 use crate::error::LabError;
 
--- a/crates/stacktack-lab/tests/processes.rs
+++ b/crates/stacktack-lab/tests/processes.rs
@@ -10,7 +10,7 @@
 use stacktack_lab::fleet::{
     read_json, tenant_key, wait_until, Fleet, FleetPlan, FleetProcess, MODEL, SERVICE,
 };
-use stacktack_platform::client::PlatformClient;
+use stacktack_node::client::PlatformClient;
 
 /// Tokens of an answer that is still running when something happens to it.
 const LONG_ANSWER: u32 = 150;
--- a/crates/stacktack-router/src/app.rs
+++ b/crates/stacktack-router/src/app.rs
@@ -16,15 +16,15 @@
 use stacktack_core::dispatch::view::RouterView;
 use stacktack_core::dispatch::Dispatcher;
 use stacktack_core::protection::Protections;
-use stacktack_platform::client::{Machine, PlatformClient, Role};
-use stacktack_platform::control::{
+use stacktack_node::client::{Machine, PlatformClient, Role};
+use stacktack_node::control::{
     draw_incarnation, member_of, ControlHandle, ControlObserver, ProcessClock,
 };
-use stacktack_platform::http::{listen, listen_datagrams, serve, ListenError, KEEP_ALIVE};
-use stacktack_platform::logging;
-use stacktack_platform::metrics::{Metrics, MetricsError};
-use stacktack_platform::settings::EXIT_FAILURE;
-use stacktack_platform::signals::wait_for_stop;
+use stacktack_node::http::{listen, listen_datagrams, serve, ListenError, KEEP_ALIVE};
+use stacktack_node::logging;
+use stacktack_node::metrics::{Metrics, MetricsError};
+use stacktack_node::settings::EXIT_FAILURE;
+use stacktack_node::signals::wait_for_stop;
 use stacktack_wire::identity::Incarnation;
 use thiserror::Error;
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
--- a/crates/stacktack-router/src/caller.rs
+++ b/crates/stacktack-router/src/caller.rs
@@ -7,7 +7,7 @@
 use actix_http::{Response, StatusCode};
 use bytes::Bytes;
 use stacktack_core::problem::Problem;
-use stacktack_platform::http::{problem_reply, BodySender, BodySource, ChannelBody};
+use stacktack_node::http::{problem_reply, BodySender, BodySource, ChannelBody};
 use stacktack_wire::identity::{NodeId, RequestId};
 use tokio::sync::oneshot;
 
--- a/crates/stacktack-router/src/entry.rs
+++ b/crates/stacktack-router/src/entry.rs
@@ -11,7 +11,7 @@
 use stacktack_core::dispatch::request::Request;
 use stacktack_core::problem::{Kind, Outcome, Problem};
 use stacktack_core::tokens::{estimate_prompt_tokens, DEFAULT_DECODE_TOKENS};
-use stacktack_platform::http::read_body;
+use stacktack_node::http::read_body;
 use stacktack_wire::identity::{ChatId, NodeId, RequestId, TenantId};
 use stacktack_wire::message::{Payload, Priority};
 
--- a/crates/stacktack-router/src/settings.rs
+++ b/crates/stacktack-router/src/settings.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use stacktack_core::placement::Policy;
-use stacktack_platform::settings::{read_or_exit, Flag};
+use stacktack_node::settings::{read_or_exit, Flag};
 
 const FLAGS: &[Flag] = &[
     Flag::required("name", "NAME", "unique name of this router"),
--- a/crates/stacktack-standins/src/bin/stacktack-engine-standin.rs
+++ b/crates/stacktack-standins/src/bin/stacktack-engine-standin.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use stacktack_platform::http::listen;
-use stacktack_platform::logging;
-use stacktack_platform::settings::{read_or_exit, Flag, EXIT_FAILURE};
+use stacktack_node::http::listen;
+use stacktack_node::logging;
+use stacktack_node::settings::{read_or_exit, Flag, EXIT_FAILURE};
 use stacktack_standins::engine::cache::EventSettings;
 use stacktack_standins::engine::model::EngineSettings;
 use stacktack_standins::engine::server;
--- a/crates/stacktack-standins/src/bin/stacktack-service-standin.rs
+++ b/crates/stacktack-standins/src/bin/stacktack-service-standin.rs
@@ -1,8 +1,8 @@
 //! Stand-in of a plain service, as a process.
 
-use stacktack_platform::http::listen;
-use stacktack_platform::logging;
-use stacktack_platform::settings::{read_or_exit, Flag, EXIT_FAILURE};
+use stacktack_node::http::listen;
+use stacktack_node::logging;
+use stacktack_node::settings::{read_or_exit, Flag, EXIT_FAILURE};
 use stacktack_standins::service;
 
 const FLAGS: &[Flag] = &[
--- a/crates/stacktack-standins/src/engine/server.rs
+++ b/crates/stacktack-standins/src/engine/server.rs
@@ -13,7 +13,7 @@
 use serde_json::json;
 use stacktack_core::problem::{Kind, Outcome};
 use stacktack_core::time::Time;
-use stacktack_platform::http::{
+use stacktack_node::http::{
     body_channel, json_reply, problem_reply, read_body, serve, BodySender, ChannelBody,
 };
 use stacktack_wire::message::{Priority, Usage};
--- a/crates/stacktack-standins/src/platform/machines.rs
+++ b/crates/stacktack-standins/src/platform/machines.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use stacktack_core::time::Time;
-use stacktack_platform::client::Machine;
+use stacktack_node::client::Machine;
 
 /// Time without a registration after which a machine is taken off the list.
 const EXPIRY: Duration = Duration::from_secs(15);
--- a/crates/stacktack-standins/src/platform/server.rs
+++ b/crates/stacktack-standins/src/platform/server.rs
@@ -12,8 +12,8 @@
 use stacktack_core::ledger::{TableOperation, TableReply};
 use stacktack_core::problem::{Kind, Outcome};
 use stacktack_core::time::Time;
-use stacktack_platform::client::{Machine, PutRow};
-use stacktack_platform::http::{
+use stacktack_node::client::{Machine, PutRow};
+use stacktack_node::http::{
     body_channel, json_reply, problem_reply, read_body, serve, ChannelBody,
 };
 
--- a/crates/stacktack-standins/src/service.rs
+++ b/crates/stacktack-standins/src/service.rs
@@ -9,7 +9,7 @@
 use actix_http::body::BoxBody;
 use actix_http::{Method, Request, Response, StatusCode};
 use serde::Serialize;
-use stacktack_platform::http::{json_reply, problem_reply, read_body, serve};
+use stacktack_node::http::{json_reply, problem_reply, read_body, serve};
 
 use crate::answer::service_answer;
 
--- a/crates/stacktack-standins/tests/platform.rs
+++ b/crates/stacktack-standins/tests/platform.rs
@@ -4,7 +4,7 @@
 
 use stacktack_core::ledger::{TableOperation, TableReply};
 use stacktack_core::time::Time;
-use stacktack_platform::client::{Machine, Role};
+use stacktack_node::client::{Machine, Role};
 use stacktack_standins::platform::machines::MachineList;
 use stacktack_standins::platform::rate::RateLimit;
 use stacktack_standins::platform::table::Table;
