Routers tell each other loads, places and versions

Change: datagrams between routers within 1,600 bytes a second; a router that is behind, or that the store refuses, fetches configuration and directory of a peer.

--- a/crates/stacktack-core/src/direct/back_end.rs
+++ b/crates/stacktack-core/src/direct/back_end.rs
@@ -9,9 +9,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::configuration::selector::Labels;
+use crate::direct::peers::ShortId;
 use crate::time::Time;
 
 /// Connections in a row that failed before a back end is passed by.
@@ -67,7 +69,7 @@
 }
 
 /// A back end as the directory describes it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BackEndEntry {
     /// Unique id of this life of the back end.
     pub id: String,
@@ -280,6 +282,14 @@
         self.members.get_mut(id)
     }
 
+    /// The back end that a short id stands for.
+    pub fn id_of(&self, short: ShortId) -> Option<&str> {
+        self.members
+            .values()
+            .find(|member| ShortId::of(member.id_hash) == short)
+            .map(|member| member.entry.id.as_str())
+    }
+
     /// All back ends.
     pub fn iter(&self) -> impl Iterator<Item = &BackEnd> {
         self.members.values()
--- a/crates/stacktack-core/src/direct/mod.rs
+++ b/crates/stacktack-core/src/direct/mod.rs
@@ -4,6 +4,7 @@
 //! router, which then holds their gates itself: admission, outlier detection,
 //! the retry budget and the certainty of "not run" are decided here.
 //!
+//! - [`peers`]: news between routers.
 //! - [`places`]: where prompt parts were last read.
 //! - [`route`]: routes, keys and limits: the traffic configuration.
 //! - [`prompt`]: the chain of prompt parts that a request announces.
@@ -17,6 +18,7 @@
 pub mod back_end;
 pub mod budget;
 pub mod events;
+pub mod peers;
 pub mod places;
 pub mod prompt;
 pub mod route;
--- /dev/null
+++ b/crates/stacktack-core/src/direct/peers.rs
@@ -0,0 +1,291 @@
+//! News between direct routers, within a byte budget.
+//!
+//! Each router tells the others what it has in flight at each back end, where
+//! prompt parts were last read, and how new its beliefs are. Whoever sees that
+//! a peer knows more fetches it from there. Nothing here has to arrive: a lost
+//! datagram only makes a belief a little older.
+
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::seq::SliceRandom;
+use rand_chacha::ChaCha8Rng;
+use serde::{Deserialize, Serialize};
+
+use crate::time::Time;
+
+/// Time after which a peer that is not heard counts as gone.
+const SILENT_AFTER: Duration = Duration::from_millis(2500);
+
+/// Time for which the largest number of routers seen is remembered.
+const REMEMBER_COUNT: Duration = Duration::from_secs(60);
+
+/// Routers that are assumed to be there until more are heard.
+const LEAST_ROUTERS: usize = 4;
+
+/// Load entries in one datagram.
+const LOADS_PER_DATAGRAM: usize = 96;
+
+/// Places in one datagram.
+const PLACES_PER_DATAGRAM: usize = 24;
+
+/// Places that wait to be told.
+const WAITING_PLACES: usize = 512;
+
+/// Addresses of other routers in one datagram.
+const ADDRESSES_PER_DATAGRAM: usize = 3;
+
+/// Largest datagram, in bytes.
+pub const MAXIMUM_DATAGRAM: usize = 1400;
+
+/// Bytes of the headers around a datagram.
+const HEADER_BYTES: f64 = 28.0;
+
+/// Bytes that may be saved up, in seconds of the budget.
+const BURST_SECONDS: f64 = 1.0;
+
+/// Short form of a back end's id on the wire.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct ShortId(pub u32);
+
+impl ShortId {
+    /// From the hash of the whole id.
+    pub fn of(id_hash: u64) -> Self {
+        ShortId(id_hash as u32)
+    }
+}
+
+/// What one router tells another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerNews {
+    /// The sender's address for news.
+    pub from: SocketAddr,
+    /// Drawn anew at each start of the sender.
+    pub incarnation: u64,
+    /// Version of the configuration in force; 0 for none.
+    pub configuration: u64,
+    /// Revision of the directory; 0 for none.
+    pub directory: u64,
+    /// Requests in flight from the sender, by back end; absent ones have none.
+    pub loads: Vec<(ShortId, u16)>,
+    /// Prompt parts and the back end that read them last.
+    pub places: Vec<(u64, ShortId)>,
+    /// A few other routers.
+    pub routers: Vec<SocketAddr>,
+}
+
+#[derive(Clone, Debug)]
+struct Peer {
+    incarnation: u64,
+    heard: Time,
+    configuration: u64,
+    directory: u64,
+    loads: Vec<(ShortId, u16)>,
+}
+
+/// A datagram to send.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Outgoing {
+    /// To whom.
+    pub to: SocketAddr,
+    /// What.
+    pub news: PeerNews,
+}
+
+/// What a router wants to tell at a tick.
+#[derive(Clone, Debug, Default)]
+pub struct OwnNews {
+    /// Version of the configuration in force.
+    pub configuration: u64,
+    /// Revision of the directory.
+    pub directory: u64,
+    /// Requests in flight by back end.
+    pub loads: Vec<(ShortId, u16)>,
+}
+
+/// The other routers as far as known.
+#[derive(Debug)]
+pub struct Peers {
+    own: SocketAddr,
+    incarnation: u64,
+    bytes_per_second: f64,
+    saved_bytes: f64,
+    last_tick: Time,
+    datagram_bytes: f64,
+    /// Addresses to try; peers are among them.
+    addresses: Vec<SocketAddr>,
+    peers: HashMap<SocketAddr, Peer>,
+    places: VecDeque<(u64, ShortId)>,
+    /// Next address to send to.
+    turn: usize,
+    peak: (usize, Time),
+}
+
+impl Peers {
+    /// Nobody is known but the seeds.
+    pub fn new(
+        own: SocketAddr,
+        incarnation: u64,
+        seeds: &[SocketAddr],
+        bytes_per_second: f64,
+        now: Time,
+    ) -> Self {
+        let mut addresses: Vec<SocketAddr> =
+            seeds.iter().copied().filter(|seed| *seed != own).collect();
+        addresses.dedup();
+        Peers {
+            own,
+            incarnation,
+            bytes_per_second,
+            saved_bytes: bytes_per_second * BURST_SECONDS,
+            last_tick: now,
+            datagram_bytes: 200.0,
+            addresses,
+            peers: HashMap::new(),
+            places: VecDeque::new(),
+            turn: 0,
+            peak: (0, now),
+        }
+    }
+
+    /// A prompt part was read by a back end: worth telling.
+    pub fn announce_place(&mut self, part: u64, back_end: ShortId) {
+        if self.places.len() >= WAITING_PLACES {
+            self.places.pop_front();
+        }
+        self.places.push_back((part, back_end));
+    }
+
+    /// Datagrams to send now, within the budget. Every known address gets its
+    /// turn; how many get one at a time follows from the budget.
+    pub fn tick(&mut self, own: &OwnNews, now: Time, random: &mut ChaCha8Rng) -> Vec<Outgoing> {
+        self.forget(now);
+        let elapsed = now.since(self.last_tick).as_secs_f64();
+        self.last_tick = now;
+        let most = self.bytes_per_second * BURST_SECONDS;
+        self.saved_bytes = (self.saved_bytes + elapsed * self.bytes_per_second).min(most);
+        let mut outgoing = Vec::new();
+        if self.addresses.is_empty() {
+            return outgoing;
+        }
+        let affordable = (self.saved_bytes / self.datagram_bytes) as usize;
+        let count = affordable.min(self.addresses.len());
+        let told = self.places.len().min(PLACES_PER_DATAGRAM);
+        let places: Vec<(u64, ShortId)> = self.places.iter().take(told).copied().collect();
+        for _ in 0..count {
+            self.turn = (self.turn + 1) % self.addresses.len();
+            if self.turn == 0 {
+                self.addresses.shuffle(random);
+            }
+            outgoing.push(Outgoing {
+                to: self.addresses[self.turn],
+                news: self.news(own, places.clone()),
+            });
+        }
+        // Places are told once to a whole round.
+        if count >= self.addresses.len() || self.places.len() >= WAITING_PLACES / 2 {
+            self.places.drain(..told);
+        }
+        outgoing
+    }
+
+    fn news(&self, own: &OwnNews, places: Vec<(u64, ShortId)>) -> PeerNews {
+        let mut loads = own.loads.clone();
+        loads.truncate(LOADS_PER_DATAGRAM);
+        let first = self.turn + 1;
+        let routers = (0..self.addresses.len().min(ADDRESSES_PER_DATAGRAM))
+            .map(|step| self.addresses[(first + step) % self.addresses.len()])
+            .filter(|address| self.peers.contains_key(address))
+            .collect();
+        PeerNews {
+            from: self.own,
+            incarnation: self.incarnation,
+            configuration: own.configuration,
+            directory: own.directory,
+            loads,
+            places,
+            routers,
+        }
+    }
+
+    /// A datagram of this many bytes was sent.
+    pub fn on_sent(&mut self, bytes: usize) {
+        let whole = bytes as f64 + HEADER_BYTES;
+        self.saved_bytes -= whole;
+        self.datagram_bytes += 0.1 * (whole - self.datagram_bytes);
+    }
+
+    /// Takes a peer's news. Returns whether the sender is new here.
+    pub fn receive(&mut self, news: &PeerNews, now: Time) -> bool {
+        if news.from == self.own {
+            return false;
+        }
+        let known = self.peers.get(&news.from);
+        let joined = known.is_none_or(|known| known.incarnation != news.incarnation);
+        self.peers.insert(
+            news.from,
+            Peer {
+                incarnation: news.incarnation,
+                heard: now,
+                configuration: news.configuration,
+                directory: news.directory,
+                loads: news.loads.clone(),
+            },
+        );
+        for address in news.routers.iter().chain([&news.from]) {
+            if *address != self.own && !self.addresses.contains(address) {
+                self.addresses.push(*address);
+            }
+        }
+        if self.peers.len() >= self.peak.0 {
+            self.peak = (self.peers.len(), now);
+        }
+        joined
+    }
+
+    fn forget(&mut self, now: Time) {
+        self.peers
+            .retain(|_, peer| now.since(peer.heard) < SILENT_AFTER);
+        if now.since(self.peak.1) > REMEMBER_COUNT {
+            self.peak = (self.peers.len(), now);
+        }
+    }
+
+    /// Routers that may be sharing the fleet's bounds, this one with them.
+    /// Peers that fell silent still count for a while: they may be cut off
+    /// and go on.
+    pub fn sharing(&self) -> usize {
+        (self.peak.0 + 1).max(LEAST_ROUTERS)
+    }
+
+    /// Peers that were heard lately.
+    pub fn alive(&self) -> usize {
+        self.peers.len()
+    }
+
+    /// Requests in flight from the peers, by back end.
+    pub fn loads(&self) -> HashMap<ShortId, u32> {
+        let mut sums = HashMap::new();
+        for (id, load) in self.peers.values().flat_map(|peer| &peer.loads) {
+            *sums.entry(*id).or_insert(0) += u32::from(*load);
+        }
+        sums
+    }
+
+    /// The peer with the newest configuration, and its version.
+    pub fn newest_configuration(&self) -> Option<(SocketAddr, u64)> {
+        self.peers
+            .iter()
+            .map(|(address, peer)| (*address, peer.configuration))
+            .max_by_key(|(_, version)| *version)
+    }
+
+    /// The peer with the newest directory, and its revision.
+    pub fn newest_directory(&self) -> Option<(SocketAddr, u64)> {
+        self.peers
+            .iter()
+            .map(|(address, peer)| (*address, peer.directory))
+            .max_by_key(|(_, revision)| *revision)
+    }
+}
--- a/crates/stacktack-core/src/direct/route.rs
+++ b/crates/stacktack-core/src/direct/route.rs
@@ -4,10 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::configuration::selector::Requirement;
 
 /// How often a request of a route may run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RouteKind {
     /// May run more than once.
     Repeatable,
@@ -32,7 +34,7 @@
 }
 
 /// One share of a route's traffic: back ends whose labels meet all conditions.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Target {
     /// Conditions on the back end's labels.
     pub back_ends: Vec<Requirement>,
@@ -41,7 +43,7 @@
 }
 
 /// A route.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Route {
     /// Unique name.
     pub name: String,
@@ -88,6 +90,14 @@
         table
     }
 
+    /// All routes.
+    pub fn iter(&self) -> impl Iterator<Item = &Route> {
+        self.hosts
+            .values()
+            .flat_map(HashMap::values)
+            .map(Arc::as_ref)
+    }
+
     /// Number of routes.
     pub fn len(&self) -> usize {
         self.count
@@ -118,7 +128,7 @@
 }
 
 /// A tenant as keys name it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Tenant {
     /// Unique name.
     pub name: String,
@@ -145,6 +155,13 @@
         ring
     }
 
+    /// All tenants with their keys.
+    pub fn iter(&self) -> impl Iterator<Item = (&Tenant, &str)> {
+        self.tenants
+            .iter()
+            .map(|(key, tenant)| (tenant.as_ref(), key.as_str()))
+    }
+
     /// The tenant that holds a key.
     pub fn tenant(&self, key: &str) -> Option<&Arc<Tenant>> {
         self.tenants.get(key)
@@ -152,7 +169,7 @@
 }
 
 /// Bounds on what a caller may send.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallerLimits {
     /// Largest request head, in bytes.
     pub header_bytes: usize,
@@ -187,3 +204,46 @@
     /// Bounds on what a caller may send.
     pub limits: CallerLimits,
 }
+
+/// A configuration as routers hand it on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TrafficDocument {
+    /// Version.
+    pub version: u64,
+    /// Routes.
+    pub routes: Vec<Route>,
+    /// Keys with their tenants; `None` when requests need no key.
+    pub keys: Option<Vec<(Tenant, String)>>,
+    /// Bounds on what a caller may send.
+    pub limits: CallerLimits,
+}
+
+impl From<&TrafficConfiguration> for TrafficDocument {
+    fn from(configuration: &TrafficConfiguration) -> Self {
+        let keys = configuration.keys.as_ref().map(|keys| {
+            keys.iter()
+                .map(|(tenant, key)| (tenant.clone(), key.to_owned()))
+                .collect()
+        });
+        TrafficDocument {
+            version: configuration.version,
+            routes: configuration.routes.iter().cloned().collect(),
+            keys,
+            limits: configuration.limits,
+        }
+    }
+}
+
+impl From<TrafficDocument> for TrafficConfiguration {
+    fn from(document: TrafficDocument) -> Self {
+        let keys = document
+            .keys
+            .map(|keys| KeyRing::new(keys.into_iter().map(|(tenant, key)| (tenant, vec![key]))));
+        TrafficConfiguration {
+            version: document.version,
+            routes: RouteTable::new(document.routes),
+            keys,
+            limits: document.limits,
+        }
+    }
+}
--- a/crates/stacktack-direct/src/app.rs
+++ b/crates/stacktack-direct/src/app.rs
@@ -8,10 +8,12 @@
 use stacktack_node::metrics::{Metrics, MetricsError};
 use stacktack_node::signals::wait_for_stop;
 use thiserror::Error;
+use tokio::net::UdpSocket;
 use tokio::time::{sleep, sleep_until, Instant};
 
 use crate::followers::{follow_configuration, follow_directory, Dependency};
 use crate::metrics::DirectMetrics;
+use crate::news;
 use crate::ports::{ConfigurationSource, Directory, Protocol};
 use crate::router::{Phase, Router};
 use crate::server::{accept_callers, listen, serve_small};
@@ -59,6 +61,8 @@
     let readiness = listen(settings.readiness)?;
     let figures = listen(settings.metrics)?;
     log::info!(target: "router", "started name={} zone={} callers={}", settings.name, settings.zone, settings.callers);
+    let knowledge = listen(settings.peers.listen)?;
+    let socket = Rc::new(UdpSocket::bind(settings.peers.listen).await?);
     let grace = settings.bounds.grace;
     let router = Rc::new(Router::new(settings, ports.protocol, instruments));
     let store = Rc::new(Dependency::new("store"));
@@ -67,7 +71,17 @@
         ports.configuration,
         store.clone(),
     ));
-    actix_rt::spawn(follow_directory(router.clone(), ports.directory, store));
+    actix_rt::spawn(follow_directory(
+        router.clone(),
+        ports.directory,
+        store.clone(),
+    ));
+    actix_rt::spawn(news::receive(router.clone(), socket.clone()));
+    actix_rt::spawn(news::exchange(router.clone(), socket, store));
+    actix_rt::spawn({
+        let router = router.clone();
+        serve_small(knowledge, move |path| news::answer_peer(&router, path))
+    });
     actix_rt::spawn(accept_callers(router.clone(), callers));
     actix_rt::spawn(serve_readiness(router.clone(), readiness));
     actix_rt::spawn(serve_small(figures, move |_| match metrics.render() {
--- a/crates/stacktack-direct/src/exchange.rs
+++ b/crates/stacktack-direct/src/exchange.rs
@@ -13,6 +13,7 @@
 use stacktack_core::configuration::selector::Requirement;
 use stacktack_core::direct::attempt::{AttemptFailure, AttemptLedger};
 use stacktack_core::direct::back_end::Standing;
+use stacktack_core::direct::peers::ShortId;
 use stacktack_core::direct::route::{Route, Target, Tenant, TrafficConfiguration};
 use stacktack_core::direct::select::{select_by_affinity, select_by_load, SelectBounds, Selection};
 use tokio::time::{timeout, timeout_at};
@@ -36,6 +37,9 @@
 /// Shared prompt tokens from which copying beats reading again.
 const FETCH_TOKENS: u32 = 256;
 
+/// Age at which the place of a prompt part is told to peers again.
+const TELL_AGAIN: Duration = Duration::from_secs(8);
+
 /// Time after which a caller may come back when nobody could take its request.
 const RETRY_AFTER: Duration = Duration::from_millis(150);
 
@@ -542,13 +546,25 @@
         AttemptEnd::Answer(Response::from_parts(head, body), attempt)
     }
 
+    /// Remembers where the prompt was read, and tells peers of a new place.
     fn record_place(&self, back_end: &str) {
-        if let Some(part) = self.caller.prompt.affinity_part() {
-            let now = self.router.now();
-            self.router
-                .places
-                .borrow_mut()
-                .record(part.id, back_end, now);
+        let Some(part) = self.caller.prompt.affinity_part() else {
+            return;
+        };
+        let now = self.router.now();
+        let mut places = self.router.places.borrow_mut();
+        let told = places
+            .holders(part.id)
+            .iter()
+            .any(|holder| holder.back_end == back_end && now.since(holder.used) < TELL_AGAIN);
+        places.record(part.id, back_end, now);
+        if told {
+            return;
+        }
+        if let Some(known) = self.router.back_ends.borrow().get(back_end) {
+            let short = ShortId::of(known.id_hash);
+            let mut peers = self.router.peers.borrow_mut();
+            peers.announce_place(part.id, short);
         }
     }
 
--- a/crates/stacktack-direct/src/followers.rs
+++ b/crates/stacktack-direct/src/followers.rs
@@ -69,6 +69,11 @@
         }
     }
 
+    /// Whether it does not answer.
+    pub fn is_lost(&self) -> bool {
+        self.lost_since.get().is_some()
+    }
+
     /// Whether it answered all the time within the last `span`.
     fn is_settled(&self, now: Time, span: Duration) -> bool {
         let regained = self.regained.get();
@@ -148,9 +153,11 @@
         router,
         missing: HashMap::new(),
     };
-    let mut after = None;
+    let mut whole = true;
     let mut pause = Pause::new();
     loop {
+        let revision = follower.router.directory_revision.get();
+        let after = (!whole && revision > 0).then_some(revision);
         let call = timeout(CALL_SLACK, directory.back_ends(after));
         let result = call.await.unwrap_or(Err(SourceError::Silent));
         let now = follower.router.now();
@@ -158,12 +165,12 @@
             Ok(news) => {
                 pause.reset();
                 store.on_answer(now);
-                after = Some(news.revision);
+                whole = false;
                 let settled = store.is_settled(now, follower.router.settings.bounds.settle);
                 follower.take(news, now, settled);
                 sleep(DIRECTORY_INTERVAL).await;
             }
-            Err(SourceError::HistoryGone) => after = None,
+            Err(SourceError::HistoryGone) => whole = true,
             Err(error) => {
                 store.on_failure(now, error);
                 pause.take().await;
@@ -172,7 +179,8 @@
     }
 }
 
-struct DirectoryFollower {
+/// Takes news of the directory.
+pub struct DirectoryFollower {
     router: Rc<Router>,
     /// Entries that vanished while the store was not settled: they may only
     /// have been unable to renew themselves.
@@ -180,7 +188,18 @@
 }
 
 impl DirectoryFollower {
+    /// Takes the directory of a peer whose store answers.
+    pub fn take_settled(router: &Rc<Router>, news: DirectoryNews) {
+        let mut follower = DirectoryFollower {
+            router: router.clone(),
+            missing: HashMap::new(),
+        };
+        let now = router.now();
+        follower.take(news, now, true);
+    }
+
     fn take(&mut self, news: DirectoryNews, now: Time, settled: bool) {
+        self.router.directory_revision.set(news.revision);
         let mut change = DirectoryChange::default();
         let mut gone = news.gone;
         {
--- a/crates/stacktack-direct/src/lib.rs
+++ b/crates/stacktack-direct/src/lib.rs
@@ -10,7 +10,7 @@
 //! - [`app`]: start, signals, stop.
 //! - `server`: callers' connections. `exchange`: one request from head to end.
 //!   `answer`: bodies on their way to callers. `connection`: back-end connections.
-//! - `followers`: configuration and directory. `router`: state of the process.
+//! - `followers`: configuration and directory. `news`: what routers tell each other. `router`: state of the process.
 
 mod answer;
 pub mod app;
@@ -20,6 +20,7 @@
 mod exchange;
 mod followers;
 pub mod metrics;
+mod news;
 pub mod ports;
 mod router;
 mod server;
--- a/crates/stacktack-direct/src/router.rs
+++ b/crates/stacktack-direct/src/router.rs
@@ -6,9 +6,11 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use rand::Rng;
 use stacktack_core::configuration::selector::{matches_all, Requirement};
 use stacktack_core::direct::back_end::{BackEnds, ZONE_LABEL};
 use stacktack_core::direct::budget::SharedRetryBudget;
+use stacktack_core::direct::peers::{Peers, ShortId};
 use stacktack_core::direct::places::PrefixPlaces;
 use stacktack_core::direct::route::TrafficConfiguration;
 use stacktack_core::direct::select::DirectCandidate;
@@ -47,8 +49,10 @@
     pub places: RefCell<PrefixPlaces>,
     /// Retry budget by pool.
     budgets: RefCell<HashMap<String, SharedRetryBudget>>,
-    /// Routers that are believed to share the retry budget.
-    pub routers: Cell<usize>,
+    /// The other routers.
+    pub peers: RefCell<Peers>,
+    /// Revision of the directory that is known.
+    pub directory_revision: Cell<u64>,
     /// Counters and histograms.
     pub metrics: DirectMetrics,
     /// How far the process is on its way to its end.
@@ -58,8 +62,8 @@
     origin: Instant,
 }
 
-/// Routers that are assumed to share the retry budget until more is known.
-const ASSUMED_ROUTERS: usize = 6;
+/// Bytes of news that a router sends in a second.
+const NEWS_BYTES_PER_SECOND: f64 = 1600.0;
 
 impl Router {
     /// A router that knows nothing yet.
@@ -68,6 +72,13 @@
         protocol: Rc<dyn Protocol>,
         metrics: DirectMetrics,
     ) -> Self {
+        let peers = Peers::new(
+            settings.peers.listen,
+            rand::rng().next_u64(),
+            &settings.peers.seeds,
+            NEWS_BYTES_PER_SECOND,
+            Time(0),
+        );
         Router {
             settings,
             protocol,
@@ -76,7 +87,8 @@
             connections: RefCell::default(),
             places: RefCell::default(),
             budgets: RefCell::default(),
-            routers: Cell::new(ASSUMED_ROUTERS),
+            peers: RefCell::new(peers),
+            directory_revision: Cell::new(0),
             metrics,
             phase: watch::Sender::new(Phase::Serving),
             open_connections: Cell::new(0),
@@ -96,6 +108,21 @@
             && self.back_ends.borrow().working() > 0
     }
 
+    /// Version of the configuration in force; 0 for none.
+    pub fn version(&self) -> u64 {
+        let known = self.configuration.borrow();
+        known.as_ref().map_or(0, |known| known.version)
+    }
+
+    /// Takes over what the peers have in flight.
+    pub fn take_peer_loads(&self) {
+        let loads = self.peers.borrow().loads();
+        for back_end in self.back_ends.borrow_mut().iter_mut() {
+            let load = loads.get(&ShortId::of(back_end.id_hash)).copied();
+            back_end.in_flight_elsewhere = f64::from(load.unwrap_or(0));
+        }
+    }
+
     /// Takes a configuration if it is newer than the one in force.
     pub fn adopt(&self, configuration: Arc<TrafficConfiguration>) -> bool {
         let mut known = self.configuration.borrow_mut();
@@ -123,7 +150,7 @@
     /// Takes one repeated send to a pool from the budget.
     pub fn take_retry(&self, pool: &[Requirement]) -> bool {
         let now = self.now();
-        let routers = self.routers.get();
+        let routers = self.peers.borrow().sharing();
         let taken = self.with_budget(pool, |budget| budget.take(now, routers));
         self.metrics.count_retry(taken);
         taken
--- a/crates/stacktack-direct/src/server.rs
+++ b/crates/stacktack-direct/src/server.rs
@@ -145,7 +145,7 @@
     }
 }
 
-/// Serves small answers: readiness and metrics.
+/// Serves small answers by path and query: readiness, metrics, knowledge.
 pub async fn serve_small<F>(listener: TcpListener, answer: F)
 where
     F: Fn(&str) -> (StatusCode, Bytes) + 'static,
@@ -159,7 +159,11 @@
         let answer = answer.clone();
         actix_rt::spawn(async move {
             let service = service_fn(move |request: hyper::Request<hyper::body::Incoming>| {
-                let (status, body) = answer(request.uri().path());
+                let path = request
+                    .uri()
+                    .path_and_query()
+                    .map_or("/", |path| path.as_str());
+                let (status, body) = answer(path);
                 async move {
                     let mut response = Response::new(Full::new(body));
                     *response.status_mut() = status;
