Follow the directory by a waiting call; ask whichever peer knows more

Change: a vanished worker is believed when the store answered any router steadily; the directory changes only when something changed, so a waiting call serves.

--- a/crates/stacktack-core/src/direct/peers.rs
+++ b/crates/stacktack-core/src/direct/peers.rs
@@ -65,8 +65,10 @@
     pub incarnation: u64,
     /// Version of the configuration in force; 0 for none.
     pub configuration: u64,
-    /// Revision of the directory; 0 for none.
+    /// Newest change of the directory that is known; 0 for none.
     pub directory: u64,
+    /// Whether the directory answered the sender steadily of late.
+    pub settled: bool,
     /// Requests in flight from the sender, by back end; absent ones have none.
     pub loads: Vec<(ShortId, u16)>,
     /// Prompt parts and the back end that read them last.
@@ -81,6 +83,7 @@
     heard: Time,
     configuration: u64,
     directory: u64,
+    settled: bool,
     loads: Vec<(ShortId, u16)>,
 }
 
@@ -98,8 +101,10 @@
 pub struct OwnNews {
     /// Version of the configuration in force.
     pub configuration: u64,
-    /// Revision of the directory.
+    /// Newest change of the directory that is known.
     pub directory: u64,
+    /// Whether the directory answered steadily of late.
+    pub settled: bool,
     /// Requests in flight by back end.
     pub loads: Vec<(ShortId, u16)>,
 }
@@ -203,6 +208,7 @@
             incarnation: self.incarnation,
             configuration: own.configuration,
             directory: own.directory,
+            settled: own.settled,
             loads,
             places,
             routers,
@@ -230,6 +236,7 @@
                 heard: now,
                 configuration: news.configuration,
                 directory: news.directory,
+                settled: news.settled,
                 loads: news.loads.clone(),
             },
         );
@@ -281,7 +288,12 @@
             .max_by_key(|(_, version)| *version)
     }
 
-    /// The peer with the newest directory, and its revision.
+    /// Whether the directory answered some peer steadily of late.
+    pub fn any_settled(&self) -> bool {
+        self.peers.values().any(|peer| peer.settled)
+    }
+
+    /// The peer with the newest directory, and its newest change.
     pub fn newest_directory(&self) -> Option<(SocketAddr, u64)> {
         self.peers
             .iter()
--- a/crates/stacktack-direct/src/followers.rs
+++ b/crates/stacktack-direct/src/followers.rs
@@ -22,12 +22,13 @@
 /// Time beyond the wait after which a call counts as lost.
 const CALL_SLACK: Duration = Duration::from_secs(2);
 
-/// Time between reads of the directory.
-const DIRECTORY_INTERVAL: Duration = Duration::from_millis(800);
+/// Longest wait for news of the directory in one call. Short, since a call
+/// without an answer is how a lost store is noticed.
+const DIRECTORY_WAIT: Duration = Duration::from_secs(4);
 
 /// Pauses after a failed call: the first, and the longest.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
-const LONGEST_PAUSE: Duration = Duration::from_millis(700);
+const LONGEST_PAUSE: Duration = Duration::from_millis(400);
 
 /// Whether a dependency answers; tells when it comes back.
 pub struct Dependency {
@@ -69,13 +70,8 @@
         }
     }
 
-    /// Whether it does not answer.
-    pub fn is_lost(&self) -> bool {
-        self.lost_since.get().is_some()
-    }
-
     /// Whether it answered all the time within the last `span`.
-    fn is_settled(&self, now: Time, span: Duration) -> bool {
+    pub fn is_settled(&self, now: Time, span: Duration) -> bool {
         let regained = self.regained.get();
         let steady = regained == Time(0) || now.since(regained) >= span;
         self.lost_since.get().is_none() && steady
@@ -153,24 +149,26 @@
         router,
         missing: HashMap::new(),
     };
-    let mut whole = true;
+    let mut after = None;
     let mut pause = Pause::new();
     loop {
-        let revision = follower.router.directory_revision.get();
-        let after = (!whole && revision > 0).then_some(revision);
-        let call = timeout(CALL_SLACK, directory.back_ends(after));
+        let call = timeout(
+            DIRECTORY_WAIT + CALL_SLACK,
+            directory.back_ends(after, DIRECTORY_WAIT),
+        );
         let result = call.await.unwrap_or(Err(SourceError::Silent));
         let now = follower.router.now();
         match result {
             Ok(news) => {
                 pause.reset();
                 store.on_answer(now);
-                whole = false;
-                let settled = store.is_settled(now, follower.router.settings.bounds.settle);
+                after = Some(news.revision);
+                let settle = follower.router.settings.bounds.settle;
+                let settled =
+                    store.is_settled(now, settle) || follower.router.peers.borrow().any_settled();
                 follower.take(news, now, settled);
-                sleep(DIRECTORY_INTERVAL).await;
             }
-            Err(SourceError::HistoryGone) => whole = true,
+            Err(SourceError::HistoryGone) => after = None,
             Err(error) => {
                 store.on_failure(now, error);
                 pause.take().await;
@@ -188,7 +186,7 @@
 }
 
 impl DirectoryFollower {
-    /// Takes the directory of a peer whose store answers.
+    /// Takes the directory of a peer that knows more.
     pub fn take_settled(router: &Rc<Router>, news: DirectoryNews) {
         let mut follower = DirectoryFollower {
             router: router.clone(),
@@ -199,7 +197,8 @@
     }
 
     fn take(&mut self, news: DirectoryNews, now: Time, settled: bool) {
-        self.router.directory_revision.set(news.revision);
+        let changed = self.router.directory_changed.get().max(news.changed);
+        self.router.directory_changed.set(changed);
         let mut change = DirectoryChange::default();
         let mut gone = news.gone;
         {
--- a/crates/stacktack-direct/src/news.rs
+++ b/crates/stacktack-direct/src/news.rs
@@ -1,6 +1,7 @@
 //! News between routers: datagrams both ways, and whole documents from a peer
 //! that knows more.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,11 +26,8 @@
 /// Time between rounds of news.
 const INTERVAL: Duration = Duration::from_millis(250);
 
-/// Time for which a configuration that a peer knows is awaited from the store.
-const CONFIGURATION_GRACE: Duration = Duration::from_millis(300);
-
-/// Time between fetches of the directory while the store does not answer.
-const DIRECTORY_INTERVAL: Duration = Duration::from_millis(700);
+/// Time for which what a peer knows is awaited from the store.
+const BEHIND_FOR: Duration = Duration::from_millis(250);
 
 /// Longest time for a connection to a peer, and for its answer.
 const CONNECT_LIMIT: Duration = Duration::from_millis(300);
@@ -42,7 +40,7 @@
 #[derive(Debug, Serialize, Deserialize)]
 struct Knowledge {
     configuration: Option<TrafficDocument>,
-    directory_revision: u64,
+    directory_changed: u64,
     directory: Vec<BackEndEntry>,
 }
 
@@ -61,7 +59,7 @@
         configuration: configuration
             .filter(|known| known.version > version)
             .map(|known| TrafficDocument::from(known.as_ref())),
-        directory_revision: router.directory_revision.get(),
+        directory_changed: router.directory_changed.get(),
         directory: router
             .back_ends
             .borrow()
@@ -115,46 +113,52 @@
     }
 }
 
+/// Since when some peer knows more.
+#[derive(Default)]
+struct Behind(Option<Time>);
+
+impl Behind {
+    /// The peer to ask, once its news did not come otherwise for a while.
+    fn whom_to_ask(
+        &mut self,
+        newest: Option<(SocketAddr, u64)>,
+        own: u64,
+        now: Time,
+    ) -> Option<SocketAddr> {
+        let newer = newest.filter(|(_, theirs)| *theirs > own);
+        self.0 = newer.and(self.0.or(Some(now)));
+        let since = self.0?;
+        newer
+            .filter(|_| now.since(since) >= BEHIND_FOR)
+            .map(|(peer, _)| peer)
+    }
+}
+
 /// Tells peers and learns from them for ever.
 pub async fn exchange(router: Rc<Router>, socket: Rc<UdpSocket>, store: Rc<Dependency>) {
     let mut random = ChaCha8Rng::from_rng(&mut rand::rng());
-    let mut behind_since: Option<Time> = None;
-    let mut directory_fetched = Time(0);
+    let mut configuration = Behind::default();
+    let mut directory = Behind::default();
     loop {
         sleep(INTERVAL).await;
-        tell(&router, &socket, &mut random).await;
-        let now = router.now();
+        tell(&router, &socket, &store, &mut random).await;
         router.take_peer_loads();
-        let version = router.version();
-        let newer = router.peers.borrow().newest_configuration();
-        let newer = newer.filter(|(_, theirs)| *theirs > version);
-        behind_since = newer.and(behind_since.or(Some(now)));
-        let patience = if store.is_lost() {
-            Duration::ZERO
-        } else {
-            CONFIGURATION_GRACE
-        };
-        if let (Some((peer, _)), Some(since)) = (newer, behind_since) {
-            if now.since(since) >= patience {
-                fetch(&router, peer, store.is_lost()).await;
-                continue;
-            }
-        }
-        let revision = router.directory_revision.get();
+        let now = router.now();
+        let newest = router.peers.borrow().newest_configuration();
+        let ask_configuration = configuration.whom_to_ask(newest, router.version(), now);
         let newest = router.peers.borrow().newest_directory();
-        if let Some((peer, _)) = newest.filter(|(_, theirs)| *theirs > revision) {
-            if store.is_lost() && now.since(directory_fetched) >= DIRECTORY_INTERVAL {
-                directory_fetched = now;
-                fetch(&router, peer, true).await;
-            }
+        let ask_directory = directory.whom_to_ask(newest, router.directory_changed.get(), now);
+        for peer in ask_configuration.into_iter().chain(ask_directory) {
+            fetch(&router, peer).await;
         }
     }
 }
 
-async fn tell(router: &Router, socket: &UdpSocket, random: &mut ChaCha8Rng) {
+async fn tell(router: &Router, socket: &UdpSocket, store: &Dependency, random: &mut ChaCha8Rng) {
     let own = OwnNews {
         configuration: router.version(),
-        directory: router.directory_revision.get(),
+        directory: router.directory_changed.get(),
+        settled: store.is_settled(router.now(), router.settings.bounds.settle),
         loads: router
             .back_ends
             .borrow()
@@ -179,7 +183,7 @@
 }
 
 /// Fetches what a peer knows beyond this router.
-async fn fetch(router: &Rc<Router>, peer: std::net::SocketAddr, with_directory: bool) {
+async fn fetch(router: &Rc<Router>, peer: SocketAddr) {
     let Some(knowledge) = ask(router.version(), peer).await else {
         log::info!(target: "peers", "peer={peer} fetched=false");
         return;
@@ -188,15 +192,15 @@
         target: "peers",
         "peer={peer} fetched=true configuration={} directory={}",
         knowledge.configuration.as_ref().map_or(0, |known| known.version),
-        knowledge.directory_revision,
+        knowledge.directory_changed,
     );
     if let Some(document) = knowledge.configuration {
         router.adopt(Arc::new(TrafficConfiguration::from(document)));
     }
-    let fresh = knowledge.directory_revision > router.directory_revision.get();
-    if with_directory && fresh {
+    let fresh = knowledge.directory_changed > router.directory_changed.get();
+    if fresh {
         let news = DirectoryNews {
-            revision: knowledge.directory_revision,
+            changed: knowledge.directory_changed,
             whole: true,
             present: knowledge.directory,
             ..DirectoryNews::default()
@@ -205,7 +209,7 @@
     }
 }
 
-async fn ask(version: u64, peer: std::net::SocketAddr) -> Option<Knowledge> {
+async fn ask(version: u64, peer: SocketAddr) -> Option<Knowledge> {
     let mut connection = ClientConnection::open(peer, CONNECT_LIMIT).await.ok()?;
     let mut request = Request::new(Bytes::new().into());
     *request.uri_mut() = format!("{PATH}?{version}").parse().ok()?;
--- a/crates/stacktack-direct/src/ports.rs
+++ b/crates/stacktack-direct/src/ports.rs
@@ -188,6 +188,8 @@
 pub struct DirectoryNews {
     /// Revision up to which the news is complete.
     pub revision: u64,
+    /// The newest change among the news; 0 if there is none.
+    pub changed: u64,
     /// Whether `present` is the whole directory.
     pub whole: bool,
     /// Entries that are there or changed.
@@ -211,9 +213,11 @@
 
 /// Directory of back ends.
 pub trait Directory {
-    /// Everything (`after` is `None`), or news after a revision.
+    /// Everything (`after` is `None`), or news after a revision, waiting up to
+    /// `wait` for some.
     fn back_ends(
         &self,
         after: Option<u64>,
+        wait: Duration,
     ) -> LocalBoxFuture<'_, Result<DirectoryNews, SourceError>>;
 }
--- a/crates/stacktack-direct/src/router.rs
+++ b/crates/stacktack-direct/src/router.rs
@@ -51,8 +51,8 @@
     budgets: RefCell<HashMap<String, SharedRetryBudget>>,
     /// The other routers.
     pub peers: RefCell<Peers>,
-    /// Revision of the directory that is known.
-    pub directory_revision: Cell<u64>,
+    /// Newest change of the directory that is known.
+    pub directory_changed: Cell<u64>,
     /// Counters and histograms.
     pub metrics: DirectMetrics,
     /// How far the process is on its way to its end.
@@ -88,7 +88,7 @@
             places: RefCell::default(),
             budgets: RefCell::default(),
             peers: RefCell::new(peers),
-            directory_revision: Cell::new(0),
+            directory_changed: Cell::new(0),
             metrics,
             phase: watch::Sender::new(Phase::Serving),
             open_connections: Cell::new(0),
