Fetch prompt parts from the likely holder; reload settings at SIGHUP

Now the next in the part's rendezvous order is asked, leaving members included, and places go once to a whole round. Settings are read again at the signal or when the file's time changes.

--- a/crates/stacktack-core/src/direct/budget.rs
+++ b/crates/stacktack-core/src/direct/budget.rs
@@ -55,6 +55,11 @@
         }
     }
 
+    /// Takes another bound; what was counted stays.
+    pub fn set_bound(&mut self, bound: BudgetBound) {
+        self.bound = bound;
+    }
+
     /// Counts a request's first send.
     pub fn count_request(&mut self, now: Time) {
         self.bucket(now).requests += 1;
--- a/crates/stacktack-core/src/direct/peers.rs
+++ b/crates/stacktack-core/src/direct/peers.rs
@@ -122,6 +122,9 @@
     addresses: Vec<SocketAddr>,
     peers: HashMap<SocketAddr, Peer>,
     places: VecDeque<(u64, ShortId)>,
+    /// Datagrams that carried the first places that wait; they go once to as
+    /// many as there are addresses.
+    batch_told_to: usize,
     /// Next address to send to.
     turn: usize,
     peak: (usize, Time),
@@ -136,21 +139,30 @@
         bytes_per_second: f64,
         now: Time,
     ) -> Self {
-        let mut addresses: Vec<SocketAddr> =
-            seeds.iter().copied().filter(|seed| *seed != own).collect();
-        addresses.dedup();
-        Peers {
+        let mut peers = Peers {
             own,
             incarnation,
             bytes_per_second,
             saved_bytes: bytes_per_second * BURST_SECONDS,
             last_tick: now,
             datagram_bytes: 200.0,
-            addresses,
+            addresses: Vec::new(),
             peers: HashMap::new(),
             places: VecDeque::new(),
+            batch_told_to: 0,
             turn: 0,
             peak: (0, now),
+        };
+        peers.add_seeds(seeds);
+        peers
+    }
+
+    /// Addresses to try beside those known.
+    pub fn add_seeds(&mut self, seeds: &[SocketAddr]) {
+        for seed in seeds {
+            if *seed != self.own && !self.addresses.contains(seed) {
+                self.addresses.push(*seed);
+            }
         }
     }
 
@@ -188,9 +200,10 @@
                 news: self.news(own, places.clone()),
             });
         }
-        // Places are told once to a whole round.
-        if count >= self.addresses.len() || self.places.len() >= WAITING_PLACES / 2 {
+        self.batch_told_to += count;
+        if self.batch_told_to >= self.addresses.len() {
             self.places.drain(..told);
+            self.batch_told_to = 0;
         }
         outgoing
     }
@@ -240,11 +253,8 @@
                 loads: news.loads.clone(),
             },
         );
-        for address in news.routers.iter().chain([&news.from]) {
-            if *address != self.own && !self.addresses.contains(address) {
-                self.addresses.push(*address);
-            }
-        }
+        self.add_seeds(&news.routers);
+        self.add_seeds(&[news.from]);
         if self.peers.len() >= self.peak.0 {
             self.peak = (self.peers.len(), now);
         }
--- a/crates/stacktack-core/src/direct/select.rs
+++ b/crates/stacktack-core/src/direct/select.rs
@@ -8,7 +8,7 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::direct::back_end::Standing;
+use crate::direct::back_end::{BackEnd, Standing};
 
 /// What is known of one candidate at the time of the choice.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -128,6 +128,20 @@
     })
 }
 
+/// The back end that most likely keeps a part, other than the chosen one: the
+/// first in the part's order over all members, with those that are leaving.
+/// When the chosen one is the home, that is the next in the order: the home
+/// before this one joined.
+pub fn likely_holder<'a>(
+    members: impl Iterator<Item = &'a BackEnd>,
+    part: u64,
+    chosen: &str,
+) -> Option<&'a BackEnd> {
+    members
+        .filter(|member| member.entry.id != chosen)
+        .max_by_key(|member| score(part, member.id_hash))
+}
+
 fn score(part: u64, id_hash: u64) -> u64 {
     xxh3_64_with_seed(&id_hash.to_le_bytes(), part)
 }
--- a/crates/stacktack-direct/src/app.rs
+++ b/crates/stacktack-direct/src/app.rs
@@ -9,6 +9,7 @@
 use stacktack_node::signals::wait_for_stop;
 use thiserror::Error;
 use tokio::net::UdpSocket;
+use tokio::signal::unix::{signal, SignalKind};
 use tokio::time::{sleep, sleep_until, Instant};
 
 use crate::followers::{follow_configuration, follow_directory, Dependency};
@@ -17,7 +18,7 @@
 use crate::ports::{ConfigurationSource, Directory, Protocol};
 use crate::router::{Phase, Router};
 use crate::server::{accept_callers, listen, serve_small};
-use crate::settings::DirectSettings;
+use crate::settings::{DirectSettings, SettingsSource};
 
 /// Time after a stop signal in which new connections are still served: whoever
 /// sends callers here has to notice first.
@@ -29,6 +30,9 @@
 /// Time between clean-ups of resting connections and old places.
 const CLEAN_UP: Duration = Duration::from_secs(1);
 
+/// Time between looks at whether the settings changed.
+const SETTINGS_LOOK: Duration = Duration::from_secs(2);
+
 /// Time before the end of the grace at which the process ends by itself.
 const GRACE_MARGIN: Duration = Duration::from_millis(100);
 
@@ -51,6 +55,8 @@
     pub configuration: Rc<dyn ConfigurationSource>,
     /// Directory of back ends.
     pub directory: Rc<dyn Directory>,
+    /// Settings that may change.
+    pub settings: Rc<dyn SettingsSource>,
 }
 
 /// Runs a direct router until it is told to stop.
@@ -63,7 +69,6 @@
     log::info!(target: "router", "started name={} zone={} callers={}", settings.name, settings.zone, settings.callers);
     let knowledge = listen(settings.peers.listen)?;
     let socket = Rc::new(UdpSocket::bind(settings.peers.listen).await?);
-    let grace = settings.bounds.grace;
     let router = Rc::new(Router::new(settings, ports.protocol, instruments));
     let store = Rc::new(Dependency::new("store"));
     actix_rt::spawn(follow_configuration(
@@ -89,8 +94,9 @@
         Err(_) => (StatusCode::INTERNAL_SERVER_ERROR, Bytes::new()),
     }));
     actix_rt::spawn(clean_up(router.clone()));
+    actix_rt::spawn(follow_settings(router.clone(), ports.settings));
     wait_for_stop().await?;
-    stop(&router, grace).await;
+    stop(&router).await;
     Ok(())
 }
 
@@ -106,6 +112,35 @@
     .await;
 }
 
+/// Reads the settings again at a signal, or when they may have changed.
+async fn follow_settings(router: Rc<Router>, source: Rc<dyn SettingsSource>) {
+    let mut hang_up = match signal(SignalKind::hangup()) {
+        Ok(hang_up) => hang_up,
+        Err(error) => {
+            log::error!(target: "settings", "hang-ups are not seen cause=\"{error}\"");
+            return;
+        }
+    };
+    loop {
+        let by_signal = tokio::select! {
+            _ = hang_up.recv() => true,
+            () = sleep(SETTINGS_LOOK) => false,
+        };
+        if !by_signal && !source.may_have_changed() {
+            continue;
+        }
+        match source.read() {
+            Ok(settings) => {
+                router.reload(&settings);
+                log::info!(target: "settings", "reloaded=true by_signal={by_signal}");
+            }
+            Err(error) => {
+                log::warn!(target: "settings", "reloaded=false by_signal={by_signal} cause=\"{error}\"");
+            }
+        }
+    }
+}
+
 async fn clean_up(router: Rc<Router>) {
     loop {
         sleep(CLEAN_UP).await;
@@ -119,8 +154,9 @@
 }
 
 /// Says that it stops, serves who still comes, then waits for what is under way.
-async fn stop(router: &Router, grace: Duration) {
-    let end = Instant::now() + grace - GRACE_MARGIN;
+async fn stop(router: &Router) {
+    let grace = router.bounds().grace;
+    let end = Instant::now() + grace.saturating_sub(GRACE_MARGIN);
     log::info!(target: "router", "stopping open_connections={}", router.open_connections.get());
     router.phase.send_replace(Phase::Closing);
     sleep(LOOK_AWAY).await;
--- a/crates/stacktack-direct/src/exchange.rs
+++ b/crates/stacktack-direct/src/exchange.rs
@@ -1,5 +1,6 @@
 //! One caller's request, from its head to the head of its answer.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -10,12 +11,14 @@
 use hyper::http::request;
 use hyper::{Request, Response, StatusCode};
 use rand::Rng;
-use stacktack_core::configuration::selector::Requirement;
+use stacktack_core::configuration::selector::{matches_all, Requirement};
 use stacktack_core::direct::attempt::{AttemptFailure, AttemptLedger};
 use stacktack_core::direct::back_end::Standing;
 use stacktack_core::direct::peers::ShortId;
 use stacktack_core::direct::route::{Route, Target, Tenant, TrafficConfiguration};
-use stacktack_core::direct::select::{select_by_affinity, select_by_load, SelectBounds, Selection};
+use stacktack_core::direct::select::{
+    likely_holder, select_by_affinity, select_by_load, SelectBounds, Selection,
+};
 use tokio::time::{timeout, timeout_at};
 
 use crate::answer::{AnswerBody, StreamAnswer};
@@ -350,21 +353,23 @@
         let Some((selection, back_end, standing)) = self.select() else {
             return AttemptEnd::NoBackEnd;
         };
-        let fetch_from = self.fetch_source(&back_end, &selection);
+        let fetch_from = self.fetch_source(&back_end);
         self.tried.push(back_end.clone());
         let Some(mut attempt) = Attempt::begin(self.router.clone(), &back_end) else {
             return AttemptEnd::Failure(AttemptFailure::Unreached, None);
         };
         log::info!(
             target: "choice",
-            "id={} back_end={} load={:.1} mean={:.1} rank={} standing={} fetch={}",
+            "id={} part={:x} tokens={} back_end={} load={:.1} mean={:.1} rank={} standing={} fetch={}",
             self.id,
+            self.caller.prompt.affinity_part().map_or(0, |part| part.id),
+            self.caller.prompt.shared_tokens(),
             back_end,
             selection.load,
             selection.mean,
             selection.rank,
             standing.word(),
-            fetch_from.is_some(),
+            fetch_from.map_or_else(|| "-".to_owned(), |holder| holder.to_string()),
         );
         let end = self
             .exchange_head(&mut attempt, resume_after, fetch_from)
@@ -393,8 +398,9 @@
         Some((selection, ids[selection.index].clone(), standing))
     }
 
-    /// Another back end that keeps the shared parts of the prompt.
-    fn fetch_source(&self, back_end: &str, selection: &Selection) -> Option<std::net::SocketAddr> {
+    /// Another back end that keeps, or is likely to keep, the shared parts of
+    /// the prompt; `None` when the chosen one is known to keep them.
+    fn fetch_source(&self, back_end: &str) -> Option<SocketAddr> {
         let part = self.caller.prompt.affinity_part()?;
         if self.caller.prompt.shared_tokens() < FETCH_TOKENS {
             return None;
@@ -411,13 +417,10 @@
         if let Some(holder) = known {
             return Some(holder.entry.address);
         }
-        let (candidates, ids) = self.router.candidates(self.pool(), &[]);
-        let home = select_by_affinity(&candidates, part.id, &SelectBounds::default())?.home?;
-        let home_id = ids.get(home)?;
-        if selection.rank == 0 || home_id == back_end {
-            return None;
-        }
-        back_ends.get(home_id).map(|home| home.entry.address)
+        let pool = back_ends
+            .iter()
+            .filter(|member| matches_all(self.pool(), &member.entry.labels));
+        likely_holder(pool, part.id, back_end).map(|holder| holder.entry.address)
     }
 
     /// Opens or takes a connection, sends, waits for the head.
@@ -425,7 +428,7 @@
         &mut self,
         attempt: &mut Attempt,
         resume_after: Option<&str>,
-        fetch_from: Option<std::net::SocketAddr>,
+        fetch_from: Option<SocketAddr>,
     ) -> Result<Response<Incoming>, AttemptFailure> {
         let address = attempt.address;
         let may_rest = self.route.kind.is_idempotent();
@@ -484,7 +487,7 @@
         &self,
         attempt: &Attempt,
         resume_after: Option<&str>,
-        fetch_from: Option<std::net::SocketAddr>,
+        fetch_from: Option<SocketAddr>,
     ) -> Request<Full<Bytes>> {
         let tenant = self.tenant.as_deref();
         let priority = tenant
--- a/crates/stacktack-direct/src/followers.rs
+++ b/crates/stacktack-direct/src/followers.rs
@@ -22,9 +22,15 @@
 /// Time beyond the wait after which a call counts as lost.
 const CALL_SLACK: Duration = Duration::from_secs(2);
 
-/// Longest wait for news of the directory in one call. Short, since a call
-/// without an answer is how a lost store is noticed.
-const DIRECTORY_WAIT: Duration = Duration::from_secs(4);
+/// Wait for news of the directory in one call, for each router that shares the
+/// watch: a call without an answer is how a lost store is noticed, and whoever
+/// notices tells the others. At least and at most.
+const DIRECTORY_WAIT_PER_ROUTER: Duration = Duration::from_secs(1);
+const SHORTEST_DIRECTORY_WAIT: Duration = Duration::from_secs(4);
+const LONGEST_DIRECTORY_WAIT: Duration = Duration::from_secs(20);
+
+/// Time after news of the directory in which more is left to gather.
+const DIRECTORY_GATHER: Duration = Duration::from_millis(500);
 
 /// Pauses after a failed call: the first, and the longest.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
@@ -152,10 +158,9 @@
     let mut after = None;
     let mut pause = Pause::new();
     loop {
-        let call = timeout(
-            DIRECTORY_WAIT + CALL_SLACK,
-            directory.back_ends(after, DIRECTORY_WAIT),
-        );
+        let sharing = follower.router.peers.borrow().sharing();
+        let wait = directory_wait(sharing);
+        let call = timeout(wait + CALL_SLACK, directory.back_ends(after, wait));
         let result = call.await.unwrap_or(Err(SourceError::Silent));
         let now = follower.router.now();
         match result {
@@ -163,10 +168,11 @@
                 pause.reset();
                 store.on_answer(now);
                 after = Some(news.revision);
-                let settle = follower.router.settings.bounds.settle;
+                let settle = follower.router.bounds().settle;
                 let settled =
                     store.is_settled(now, settle) || follower.router.peers.borrow().any_settled();
                 follower.take(news, now, settled);
+                sleep(DIRECTORY_GATHER).await;
             }
             Err(SourceError::HistoryGone) => after = None,
             Err(error) => {
@@ -177,6 +183,14 @@
     }
 }
 
+/// Wait for news of the directory when so many routers share the watch.
+fn directory_wait(routers: usize) -> Duration {
+    let routers = u32::try_from(routers).unwrap_or(u32::MAX);
+    DIRECTORY_WAIT_PER_ROUTER
+        .saturating_mul(routers)
+        .clamp(SHORTEST_DIRECTORY_WAIT, LONGEST_DIRECTORY_WAIT)
+}
+
 /// Takes news of the directory.
 pub struct DirectoryFollower {
     router: Rc<Router>,
--- a/crates/stacktack-direct/src/news.rs
+++ b/crates/stacktack-direct/src/news.rs
@@ -158,7 +158,7 @@
     let own = OwnNews {
         configuration: router.version(),
         directory: router.directory_changed.get(),
-        settled: store.is_settled(router.now(), router.settings.bounds.settle),
+        settled: store.is_settled(router.now(), router.bounds().settle),
         loads: router
             .back_ends
             .borrow()
--- a/crates/stacktack-direct/src/router.rs
+++ b/crates/stacktack-direct/src/router.rs
@@ -20,7 +20,7 @@
 use crate::connection::RestingConnections;
 use crate::metrics::DirectMetrics;
 use crate::ports::Protocol;
-use crate::settings::DirectSettings;
+use crate::settings::{Bounds, DirectSettings};
 
 /// How far a process is on its way to its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -35,8 +35,10 @@
 
 /// State of the process.
 pub struct Router {
-    /// Settings.
+    /// Settings that hold for the life of the process.
     pub settings: DirectSettings,
+    /// Bounds in force; they change with the settings.
+    bounds: Cell<Bounds>,
     /// The protocols towards callers and back ends.
     pub protocol: Rc<dyn Protocol>,
     /// The configuration in force.
@@ -80,6 +82,7 @@
             Time(0),
         );
         Router {
+            bounds: Cell::new(settings.bounds),
             settings,
             protocol,
             configuration: RefCell::default(),
@@ -108,6 +111,22 @@
             && self.back_ends.borrow().working() > 0
     }
 
+    /// Bounds in force.
+    pub fn bounds(&self) -> Bounds {
+        self.bounds.get()
+    }
+
+    /// Takes over what may change while the process runs: bounds and seeds.
+    pub fn reload(&self, settings: &DirectSettings) {
+        self.bounds.set(settings.bounds);
+        let mut budgets = self.budgets.borrow_mut();
+        for budget in budgets.values_mut() {
+            budget.set_bound(settings.bounds.retries);
+        }
+        let mut peers = self.peers.borrow_mut();
+        peers.add_seeds(&settings.peers.seeds);
+    }
+
     /// Version of the configuration in force; 0 for none.
     pub fn version(&self) -> u64 {
         let known = self.configuration.borrow();
@@ -164,12 +183,12 @@
         let mut budgets = self.budgets.borrow_mut();
         let name = pool_name(pool);
         if !budgets.contains_key(name) {
-            let budget = SharedRetryBudget::new(self.settings.bounds.retries);
+            let budget = SharedRetryBudget::new(self.bounds().retries);
             budgets.insert(name.to_owned(), budget);
         }
         match budgets.get_mut(name) {
             Some(budget) => act(budget),
-            None => act(&mut SharedRetryBudget::new(self.settings.bounds.retries)),
+            None => act(&mut SharedRetryBudget::new(self.bounds().retries)),
         }
     }
 
--- a/crates/stacktack-direct/src/settings.rs
+++ b/crates/stacktack-direct/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a direct router, as the adapter hands them over.
 
+use std::error::Error;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -24,6 +25,15 @@
     pub bounds: Bounds,
 }
 
+/// Where settings come from while the process runs.
+pub trait SettingsSource {
+    /// Whether the settings may have changed since they were last read.
+    fn may_have_changed(&self) -> bool;
+
+    /// Reads and checks the settings.
+    fn read(&self) -> Result<DirectSettings, Box<dyn Error>>;
+}
+
 /// Addresses for news between routers.
 #[derive(Clone, Debug)]
 pub struct PeerSettings {
