Prove the direct router's decisions; keep peers in large fleets

Tests of routes, prompt chains, attempts, the shared retry budget over every window, choice, beliefs and news. Two faults found by them: in a fleet of 60 a peer counted as gone between two of its turns (sharing 4 instead of 60), and the order of a round was drawn anew each time, so that some peers never got a place. Patience grows with the length of a round; the order stays. Addresses that fell silent are dropped.

--- a/crates/stacktack-core/src/direct/peers.rs
+++ b/crates/stacktack-core/src/direct/peers.rs
@@ -9,18 +9,23 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use rand::seq::SliceRandom;
-use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
 
 use crate::time::Time;
 
-/// Time after which a peer that is not heard counts as gone.
+/// Time after which a peer that is not heard counts as gone, at least ...
 const SILENT_AFTER: Duration = Duration::from_millis(2500);
 
+/// ... and in rounds, in a fleet so large that the budget makes rounds long.
+const SILENT_ROUNDS: f64 = 3.0;
+
 /// Time for which the largest number of routers seen is remembered.
 const REMEMBER_COUNT: Duration = Duration::from_secs(60);
 
+/// Time for which an address that is not heard is still told news; seeds are
+/// told for ever.
+const KEEP_ADDRESS: Duration = Duration::from_secs(30);
+
 /// Routers that are assumed to be there until more are heard.
 const LEAST_ROUTERS: usize = 4;
 
@@ -36,6 +41,10 @@
 /// Addresses of other routers in one datagram.
 const ADDRESSES_PER_DATAGRAM: usize = 3;
 
+/// Places in the round that routers begin at, so that they do not all tell the
+/// same one at the same time.
+const SPREAD: usize = 64;
+
 /// Largest datagram, in bytes.
 pub const MAXIMUM_DATAGRAM: usize = 1400;
 
@@ -118,8 +127,11 @@
     saved_bytes: f64,
     last_tick: Time,
     datagram_bytes: f64,
-    /// Addresses to try; peers are among them.
+    seeds: Vec<SocketAddr>,
+    /// Addresses to tell news to: peers, seeds, and those lately learned.
     addresses: Vec<SocketAddr>,
+    /// When an address was last heard or first learned.
+    heard_or_learned: HashMap<SocketAddr, Time>,
     peers: HashMap<SocketAddr, Peer>,
     places: VecDeque<(u64, ShortId)>,
     /// Datagrams that carried the first places that wait; they go once to as
@@ -146,11 +158,13 @@
             saved_bytes: bytes_per_second * BURST_SECONDS,
             last_tick: now,
             datagram_bytes: 200.0,
+            seeds: Vec::new(),
             addresses: Vec::new(),
+            heard_or_learned: HashMap::new(),
             peers: HashMap::new(),
             places: VecDeque::new(),
             batch_told_to: 0,
-            turn: 0,
+            turn: incarnation as usize % SPREAD,
             peak: (0, now),
         };
         peers.add_seeds(seeds);
@@ -159,9 +173,15 @@
 
     /// Addresses to try beside those known.
     pub fn add_seeds(&mut self, seeds: &[SocketAddr]) {
-        for seed in seeds {
-            if *seed != self.own && !self.addresses.contains(seed) {
-                self.addresses.push(*seed);
+        self.seeds = seeds.to_vec();
+        self.learn(seeds);
+    }
+
+    fn learn(&mut self, addresses: &[SocketAddr]) {
+        for address in addresses {
+            if *address != self.own && !self.addresses.contains(address) {
+                self.addresses.push(*address);
+                self.heard_or_learned.insert(*address, self.last_tick);
             }
         }
     }
@@ -176,7 +196,7 @@
 
     /// Datagrams to send now, within the budget. Every known address gets its
     /// turn; how many get one at a time follows from the budget.
-    pub fn tick(&mut self, own: &OwnNews, now: Time, random: &mut ChaCha8Rng) -> Vec<Outgoing> {
+    pub fn tick(&mut self, own: &OwnNews, now: Time) -> Vec<Outgoing> {
         self.forget(now);
         let elapsed = now.since(self.last_tick).as_secs_f64();
         self.last_tick = now;
@@ -192,9 +212,6 @@
         let places: Vec<(u64, ShortId)> = self.places.iter().take(told).copied().collect();
         for _ in 0..count {
             self.turn = (self.turn + 1) % self.addresses.len();
-            if self.turn == 0 {
-                self.addresses.shuffle(random);
-            }
             outgoing.push(Outgoing {
                 to: self.addresses[self.turn],
                 news: self.news(own, places.clone()),
@@ -253,8 +270,9 @@
                 loads: news.loads.clone(),
             },
         );
-        self.add_seeds(&news.routers);
-        self.add_seeds(&[news.from]);
+        self.learn(&news.routers);
+        self.learn(&[news.from]);
+        self.heard_or_learned.insert(news.from, now);
         if self.peers.len() >= self.peak.0 {
             self.peak = (self.peers.len(), now);
         }
@@ -262,8 +280,19 @@
     }
 
     fn forget(&mut self, now: Time) {
+        let round = self.addresses.len() as f64 * self.datagram_bytes / self.bytes_per_second;
+        let patience = SILENT_AFTER.max(Duration::from_secs_f64(round * SILENT_ROUNDS));
         self.peers
-            .retain(|_, peer| now.since(peer.heard) < SILENT_AFTER);
+            .retain(|_, peer| now.since(peer.heard) < patience);
+        let (seeds, known) = (&self.seeds, &self.heard_or_learned);
+        let keep = patience.max(KEEP_ADDRESS);
+        self.addresses.retain(|address| {
+            let fresh = known.get(address).is_some_and(|at| now.since(*at) < keep);
+            fresh || seeds.contains(address)
+        });
+        let addresses = &self.addresses;
+        self.heard_or_learned
+            .retain(|address, _| addresses.contains(address));
         if now.since(self.peak.1) > REMEMBER_COUNT {
             self.peak = (self.peers.len(), now);
         }
--- /dev/null
+++ b/crates/stacktack-core/tests/direct.rs
@@ -0,0 +1,430 @@
+//! Decisions of a direct router: routes, attempts, retry budget, choice,
+//! beliefs of back ends, whole events.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use stacktack_core::configuration::selector::{Labels, Requirement};
+use stacktack_core::direct::attempt::{AttemptFailure, AttemptLedger};
+use stacktack_core::direct::back_end::{BackEndEntry, BackEnds, DirectoryChange, Standing};
+use stacktack_core::direct::budget::{BudgetBound, SharedRetryBudget};
+use stacktack_core::direct::events::EventSplitter;
+use stacktack_core::direct::prompt::{PromptChain, PromptError};
+use stacktack_core::direct::route::{
+    CallerLimits, KeyRing, Route, RouteKind, RouteTable, Target, Tenant, TrafficConfiguration,
+    TrafficDocument,
+};
+use stacktack_core::direct::select::{
+    likely_holder, select_by_affinity, select_by_load, DirectCandidate, SelectBounds,
+};
+use stacktack_core::time::Time;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn at(milliseconds: u64) -> Time {
+    Time(milliseconds * 1000)
+}
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        path_prefix: prefix.to_owned(),
+        kind: RouteKind::Repeatable,
+        targets: vec![Target {
+            back_ends: Vec::new(),
+            weight: 1,
+        }],
+        timeout: SECOND,
+        objective: SECOND,
+        priority: 0,
+        max_attempts: 2,
+        public: false,
+    }
+}
+
+fn name_of<'a>(table: &'a RouteTable, host: &str, path: &str) -> Option<&'a str> {
+    table.find(host, path).map(|route| route.name.as_str())
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let table = RouteTable::new([
+        route("short", "a.example", "/x/"),
+        route("long", "a.example", "/x/y/"),
+        route("other", "b.example", "/x/"),
+    ]);
+    assert_eq!(name_of(&table, "a.example", "/x/y/z"), Some("long"));
+    assert_eq!(name_of(&table, "a.example", "/x/z"), Some("short"));
+    assert_eq!(name_of(&table, "A.Example:8080", "/x/"), Some("short"));
+    assert_eq!(name_of(&table, "b.example", "/x/y/"), Some("other"));
+    assert_eq!(name_of(&table, "a.example", "/x"), None);
+    assert_eq!(name_of(&table, "c.example", "/x/"), None);
+}
+
+#[test]
+fn a_configuration_survives_being_handed_on() {
+    let tenant = Tenant {
+        name: "t".to_owned(),
+        priority: Some(1),
+    };
+    let configuration = TrafficConfiguration {
+        version: 9,
+        routes: RouteTable::new([route("r", "a.example", "/x/")]),
+        keys: Some(KeyRing::new([(
+            tenant,
+            vec!["k1".to_owned(), "k2".to_owned()],
+        )])),
+        limits: CallerLimits::default(),
+    };
+    let text = serde_json::to_string(&TrafficDocument::from(&configuration)).expect("serializes");
+    let document: TrafficDocument = serde_json::from_str(&text).expect("parses");
+    let copy = TrafficConfiguration::from(document);
+    assert_eq!(copy.version, 9);
+    assert_eq!(name_of(&copy.routes, "a.example", "/x/1"), Some("r"));
+    let keys = copy.keys.expect("keys");
+    assert_eq!(
+        keys.tenant("k2").map(|tenant| tenant.priority),
+        Some(Some(1))
+    );
+    assert!(keys.tenant("k3").is_none());
+}
+
+#[test]
+fn prompt_chains_parse_or_say_which_entry_does_not() {
+    let chain = PromptChain::parse("5c:800,91bd:410,e4:250").expect("parses");
+    assert_eq!(chain.affinity_part().map(|part| part.id), Some(0x91bd));
+    assert_eq!(chain.shared_tokens(), 1210);
+    assert_eq!(chain.tokens(), 1460);
+    assert_eq!(
+        PromptChain::parse("5c:800,zz:1"),
+        Err(PromptError::Entry(1))
+    );
+    assert_eq!(PromptChain::parse("5c"), Err(PromptError::Entry(0)));
+    assert_eq!(PromptChain::default().affinity_part(), None);
+}
+
+#[test]
+fn what_may_have_run_is_never_sent_again_unless_it_may_be_repeated() {
+    let uncertain = [
+        AttemptFailure::Failed,
+        AttemptFailure::Broken,
+        AttemptFailure::Crossed,
+        AttemptFailure::Silent,
+    ];
+    for failure in uncertain {
+        let mut ledger = AttemptLedger::default();
+        ledger.count(failure);
+        assert!(!ledger.may_send_again(RouteKind::Once, 9), "{failure:?}");
+        assert!(!ledger.may_send_again(RouteKind::Stream, 9), "{failure:?}");
+        assert!(
+            ledger.may_send_again(RouteKind::Repeatable, 2),
+            "{failure:?}"
+        );
+        assert!(ledger.may_send_again(RouteKind::ResumableStream, 2));
+    }
+}
+
+#[test]
+fn certain_failures_leave_a_request_free_within_its_attempts() {
+    let mut ledger = AttemptLedger::default();
+    ledger.count(AttemptFailure::Unreached);
+    ledger.count(AttemptFailure::OtherInstance);
+    assert!(ledger.may_send_again(RouteKind::Once, 1));
+    ledger.count(AttemptFailure::Rejected);
+    assert!(!ledger.may_send_again(RouteKind::Once, 1));
+    assert!(ledger.may_send_again(RouteKind::Once, 2));
+    assert!(!ledger.may_have_run);
+}
+
+#[test]
+fn tries_that_reach_nobody_end() {
+    let mut ledger = AttemptLedger::default();
+    let mut tries = 0;
+    while ledger.may_send_again(RouteKind::Once, 1) {
+        ledger.count(AttemptFailure::Unreached);
+        tries += 1;
+        assert!(tries < 10);
+    }
+}
+
+/// Repeats over requests in any window of a fleet whose routers share a bound.
+#[test]
+fn the_fleet_keeps_its_retry_bound_in_every_window() {
+    let bound = BudgetBound {
+        ratio: 0.2,
+        extra: 56.0,
+        window: SECOND * 10,
+    };
+    let routers = 4;
+    let mut random = ChaCha8Rng::seed_from_u64(7);
+    let mut budgets = vec![SharedRetryBudget::new(bound); routers];
+    let mut requests: Vec<u64> = Vec::new();
+    let mut repeats: Vec<u64> = Vec::new();
+    for tick in 0..6000 {
+        let now = at(tick * 10);
+        let busy = (tick / 700) % 2 == 0;
+        let budget = &mut budgets[random.random_range(0..routers)];
+        if random.random_bool(if busy { 0.9 } else { 0.1 }) {
+            budget.count_request(now);
+            requests.push(now.0);
+        }
+        if budget.take(now, routers) {
+            repeats.push(now.0);
+        }
+    }
+    assert!(repeats.len() > 100, "the budget has to be used");
+    let within = |times: &[u64], from: u64, to: u64| {
+        times
+            .iter()
+            .filter(|time| (from..to).contains(*time))
+            .count() as f64
+    };
+    let window = bound.window.as_micros() as u64;
+    for start in (0..60_000_000).step_by(100_000) {
+        let spent = within(&repeats, start, start + window);
+        let here = within(&requests, start, start + window);
+        let before = within(&requests, start.saturating_sub(window), start);
+        assert!(
+            spent <= bound.ratio * here.max(before) + bound.extra,
+            "at {start}"
+        );
+    }
+}
+
+#[test]
+fn an_old_window_is_forgotten() {
+    let bound = BudgetBound {
+        ratio: 0.0,
+        extra: 8.0,
+        window: SECOND,
+    };
+    let mut budget = SharedRetryBudget::new(bound);
+    let taken = (0..20).filter(|_| budget.take(at(0), 1)).count();
+    assert_eq!(taken, 6);
+    assert!(!budget.take(at(900), 1));
+    assert!(budget.take(at(1100), 1));
+}
+
+#[test]
+fn only_whole_events_pass_and_the_last_id_is_known() {
+    let stream = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
+    let mut random = ChaCha8Rng::seed_from_u64(3);
+    for _ in 0..200 {
+        let mut splitter = EventSplitter::default();
+        let mut passed = Vec::new();
+        let mut rest = &stream[..];
+        while !rest.is_empty() {
+            let length = random.random_range(1..=rest.len().min(9));
+            passed.extend_from_slice(&splitter.push(&rest[..length]));
+            rest = &rest[length..];
+            assert!(passed.is_empty() || passed.ends_with(b"\n\n"));
+        }
+        assert_eq!(passed, stream);
+        assert_eq!(splitter.last_id(), Some("3"));
+        assert!(!splitter.is_torn());
+    }
+}
+
+#[test]
+fn a_torn_event_is_dropped_for_whoever_continues() {
+    let mut splitter = EventSplitter::default();
+    let passed = splitter.push(b"id: 7\ndata: a\n\nid: 8\nda");
+    assert_eq!(&passed[..], b"id: 7\ndata: a\n\n");
+    assert!(splitter.is_torn());
+    splitter.discard();
+    assert_eq!(splitter.last_id(), Some("7"));
+    assert_eq!(
+        &splitter.push(b"id: 8\ndata: b\n\n")[..],
+        b"id: 8\ndata: b\n\n"
+    );
+}
+
+fn candidate(index: usize, load: f64) -> DirectCandidate {
+    DirectCandidate {
+        index,
+        id_hash: 1000 + index as u64,
+        load,
+        slots: 64.0,
+        same_zone: true,
+        standing: Standing::Good,
+    }
+}
+
+#[test]
+fn routers_agree_on_the_home_of_a_part_whatever_their_order() {
+    let bounds = SelectBounds::default();
+    let candidates: Vec<_> = (0..8).map(|index| candidate(index, 1.0)).collect();
+    let mut turned = candidates.clone();
+    turned.reverse();
+    for part in 0..100 {
+        let here = select_by_affinity(&candidates, part, &bounds).expect("chosen");
+        let there = select_by_affinity(&turned, part, &bounds).expect("chosen");
+        assert_eq!(here.index, there.index);
+        assert_eq!(here.rank, 0);
+    }
+}
+
+#[test]
+fn a_loaded_home_is_passed_by_and_a_bad_standing_too() {
+    let bounds = SelectBounds::default();
+    let mut candidates: Vec<_> = (0..8).map(|index| candidate(index, 1.0)).collect();
+    let home = select_by_affinity(&candidates, 5, &bounds)
+        .expect("chosen")
+        .index;
+    candidates[home].load = 30.0;
+    let spilled = select_by_affinity(&candidates, 5, &bounds).expect("chosen");
+    assert_ne!(spilled.index, home);
+    assert_eq!(spilled.home, Some(home));
+    candidates[home].load = 1.0;
+    candidates[home].standing = Standing::Ejected;
+    let avoided = select_by_affinity(&candidates, 5, &bounds).expect("chosen");
+    assert_eq!(avoided.index, spilled.index);
+    for candidate in &mut candidates {
+        candidate.standing = Standing::Ejected;
+    }
+    assert!(select_by_affinity(&candidates, 5, &bounds).is_some());
+    assert!(select_by_affinity(&[], 5, &bounds).is_none());
+}
+
+#[test]
+fn the_own_zone_is_used_until_another_is_clearly_freer() {
+    let bounds = SelectBounds::default();
+    let mut candidates = vec![candidate(0, 2.0), candidate(1, 1.0)];
+    candidates[1].same_zone = false;
+    let chosen = |candidates: &[DirectCandidate]| {
+        select_by_load(candidates, 1, &bounds)
+            .expect("chosen")
+            .index
+    };
+    assert_eq!(chosen(&candidates), 0);
+    candidates[0].load = 4.0;
+    assert_eq!(chosen(&candidates), 1);
+}
+
+fn entry(id: &str) -> BackEndEntry {
+    BackEndEntry {
+        id: id.to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        labels: Labels::from([("service".to_owned(), "s".to_owned())]),
+        slots: 4,
+        leaving: false,
+    }
+}
+
+fn back_ends(ids: &[&str]) -> BackEnds {
+    let mut all = BackEnds::default();
+    for id in ids {
+        all.upsert(entry(id), at(0), &mut DirectoryChange::default());
+    }
+    all
+}
+
+fn standing(all: &BackEnds, id: &str, now: Time) -> Option<Standing> {
+    all.pool(now, |_| true)
+        .into_iter()
+        .find(|(member, _)| member.entry.id == id)
+        .map(|(_, standing)| standing)
+}
+
+#[test]
+fn a_back_end_that_does_not_answer_is_passed_by_and_comes_back() {
+    let mut all = back_ends(&["a", "b"]);
+    let member = all.get_mut("a").expect("known");
+    assert!(!member.on_unreachable(at(0)));
+    assert!(member.on_unreachable(at(10)));
+    assert_eq!(standing(&all, "a", at(20)), Some(Standing::Ejected));
+    assert_eq!(standing(&all, "a", at(600)), Some(Standing::Good));
+    let member = all.get_mut("a").expect("known");
+    assert!(member.on_unreachable(at(600)), "one more failure is enough");
+    assert_eq!(standing(&all, "a", at(1500)), Some(Standing::Ejected));
+    all.get_mut("a").expect("known").on_bytes(at(1500));
+    assert_eq!(standing(&all, "a", at(1500)), Some(Standing::Good));
+}
+
+#[test]
+fn silence_with_requests_in_flight_is_noticed() {
+    let mut all = back_ends(&["a", "b"]);
+    all.get_mut("a").expect("known").on_send(at(100));
+    assert_eq!(standing(&all, "a", at(500)), Some(Standing::Good));
+    assert_eq!(standing(&all, "a", at(600)), Some(Standing::Ejected));
+    all.get_mut("a").expect("known").on_bytes(at(600));
+    assert_eq!(standing(&all, "a", at(700)), Some(Standing::Good));
+}
+
+#[test]
+fn failing_more_than_the_pool_degrades() {
+    let mut all = back_ends(&["a", "b", "c"]);
+    for turn in 0..40 {
+        for id in ["a", "b", "c"] {
+            let member = all.get_mut(id).expect("known");
+            member.on_send(at(turn));
+            member.on_outcome(id == "a" && turn % 2 == 0);
+            member.on_end();
+        }
+    }
+    assert_eq!(standing(&all, "a", at(50)), Some(Standing::Degraded));
+    assert_eq!(standing(&all, "b", at(50)), Some(Standing::Good));
+}
+
+#[test]
+fn leaving_back_ends_get_nothing_but_may_still_hand_over() {
+    let mut all = back_ends(&["a", "b"]);
+    let mut change = DirectoryChange::default();
+    let mut leaving = entry("a");
+    leaving.leaving = true;
+    all.upsert(leaving, at(1), &mut change);
+    assert_eq!(change.leaving, ["a"]);
+    assert_eq!(standing(&all, "a", at(2)), None);
+    assert_eq!(all.working(), 1);
+    let holder = likely_holder(all.iter(), 5, "b").map(|member| member.entry.id.as_str());
+    assert_eq!(holder, Some("a"));
+    all.remove("a", &mut change);
+    assert_eq!(change.gone, ["a"]);
+    assert!(likely_holder(all.iter(), 5, "b").is_none());
+}
+
+#[test]
+fn the_former_home_of_a_part_is_its_likely_holder() {
+    let bounds = SelectBounds::default();
+    let ids = ["a", "b", "c", "d", "e"];
+    let before = back_ends(&ids[..4]);
+    let after = back_ends(&ids);
+    for part in 0..200 {
+        let choose = |all: &BackEnds| {
+            let members: Vec<_> = all.iter().collect();
+            let candidates: Vec<_> = members
+                .iter()
+                .enumerate()
+                .map(|(index, member)| DirectCandidate {
+                    id_hash: member.id_hash,
+                    ..candidate(index, 0.0)
+                })
+                .collect();
+            let chosen = select_by_affinity(&candidates, part, &bounds).expect("chosen");
+            members[chosen.index].entry.id.clone()
+        };
+        let (old, new) = (choose(&before), choose(&after));
+        if old != new {
+            let holder = likely_holder(after.iter(), part, &new).expect("a holder");
+            assert_eq!(holder.entry.id, old);
+        }
+    }
+}
+
+#[test]
+fn pools_are_bounded_by_labels() {
+    let all = back_ends(&["a"]);
+    let wanted = Requirement {
+        key: "service".to_owned(),
+        equals: Some("other".to_owned()),
+        not_equals: None,
+        one_of: None,
+        not_in: None,
+        exists: None,
+    };
+    let pool = all.pool(at(0), |entry| wanted.matches(&entry.labels));
+    assert!(pool.is_empty());
+}
--- /dev/null
+++ b/crates/stacktack-core/tests/peers.rs
@@ -0,0 +1,192 @@
+//! News between direct routers: budget, sums, reach.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+
+use stacktack_core::direct::peers::{Outgoing, OwnNews, Peers, ShortId};
+use stacktack_core::time::Time;
+
+const BYTES_PER_SECOND: f64 = 1600.0;
+
+/// Bytes of a datagram's headers.
+const HEADERS: usize = 28;
+
+fn address(number: u8) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, number], 7300))
+}
+
+fn at(milliseconds: u64) -> Time {
+    Time(milliseconds * 1000)
+}
+
+fn peers(number: u8, seeds: &[u8]) -> Peers {
+    let seeds: Vec<_> = seeds.iter().map(|seed| address(*seed)).collect();
+    Peers::new(
+        address(number),
+        u64::from(number),
+        &seeds,
+        BYTES_PER_SECOND,
+        at(0),
+    )
+}
+
+fn length(datagram: &Outgoing) -> usize {
+    serde_json::to_vec(&datagram.news)
+        .expect("serializes")
+        .len()
+}
+
+struct Fleet {
+    peers: Vec<Peers>,
+    sent_bytes: Vec<usize>,
+}
+
+impl Fleet {
+    /// Routers that all know the first one only.
+    fn new(count: u8) -> Self {
+        Fleet {
+            peers: (0..count).map(|number| peers(number, &[0])).collect(),
+            sent_bytes: vec![0; usize::from(count)],
+        }
+    }
+
+    /// One round each; what arrives is taken at once.
+    fn round(&mut self, now: Time, own: &[OwnNews]) -> Vec<Outgoing> {
+        let mut all = Vec::new();
+        for (index, own) in own.iter().enumerate() {
+            for datagram in self.peers[index].tick(own, now) {
+                let bytes = length(&datagram);
+                self.peers[index].on_sent(bytes);
+                self.sent_bytes[index] += bytes + HEADERS;
+                let to = self.peers.iter_mut().enumerate();
+                for (number, peer) in to {
+                    if address(number as u8) == datagram.to {
+                        peer.receive(&datagram.news, now);
+                    }
+                }
+                all.push(datagram);
+            }
+        }
+        all
+    }
+}
+
+fn own(configuration: u64, load: u16) -> OwnNews {
+    OwnNews {
+        configuration,
+        directory: configuration,
+        settled: true,
+        loads: vec![(ShortId(5), load)],
+    }
+}
+
+#[test]
+fn loads_of_all_peers_are_summed_and_expire() {
+    let mut fleet = Fleet::new(4);
+    let news: Vec<_> = (0..4).map(|number| own(1, number)).collect();
+    for round in 0..20 {
+        fleet.round(at(round * 250), &news);
+    }
+    assert_eq!(fleet.peers[0].alive(), 3);
+    assert_eq!(fleet.peers[0].loads().get(&ShortId(5)), Some(&6));
+    fleet.peers[0].tick(&news[0], at(60_000));
+    assert_eq!(fleet.peers[0].alive(), 0);
+    assert!(fleet.peers[0].loads().is_empty());
+}
+
+#[test]
+fn the_byte_budget_holds_for_a_large_fleet() {
+    let mut fleet = Fleet::new(60);
+    let news: Vec<_> = (0..60).map(|_| own(1, 3)).collect();
+    let seconds = 40;
+    for round in 0..seconds * 4 {
+        fleet.round(at(round * 250), &news);
+    }
+    let most = fleet.sent_bytes.iter().max().copied().unwrap_or(0);
+    let allowed = BYTES_PER_SECOND * (seconds + 2) as f64;
+    assert!((most as f64) < allowed, "{most} bytes of {allowed}");
+    assert!(fleet.peers.iter().all(|peers| peers.sharing() > 40));
+}
+
+#[test]
+fn whoever_knows_more_is_found() {
+    let mut fleet = Fleet::new(4);
+    let news = [own(1, 0), own(1, 0), own(7, 0), own(2, 0)];
+    for round in 0..8 {
+        fleet.round(at(round * 250), &news);
+    }
+    assert_eq!(fleet.peers[0].newest_configuration(), Some((address(2), 7)));
+    assert_eq!(fleet.peers[0].newest_directory(), Some((address(2), 7)));
+    assert!(fleet.peers[0].any_settled());
+}
+
+/// Found by counting tokens read again: the same places went to the first
+/// addresses of a round again and again, and never to the others.
+#[test]
+fn a_place_reaches_every_peer_and_is_told_no_longer() {
+    let mut fleet = Fleet::new(6);
+    let news: Vec<_> = (0..6).map(|_| own(1, 0)).collect();
+    for round in 0..40 {
+        fleet.round(at(round * 250), &news);
+    }
+    for part in 0..60 {
+        fleet.peers[0].announce_place(part, ShortId(5));
+    }
+    let mut reached: Vec<HashSet<SocketAddr>> = vec![HashSet::new(); 60];
+    for round in 40..120 {
+        for datagram in fleet.round(at(round * 250), &news) {
+            for (part, _) in datagram.news.places {
+                reached[part as usize].insert(datagram.to);
+            }
+        }
+    }
+    assert!(reached.iter().all(|peers| peers.len() == 5), "{reached:?}");
+    let after = fleet.round(at(30_000), &news);
+    assert!(after.iter().all(|datagram| datagram.news.places.is_empty()));
+}
+
+#[test]
+fn silent_peers_still_count_for_what_the_fleet_shares() {
+    let mut fleet = Fleet::new(8);
+    let news: Vec<_> = (0..8).map(|_| own(1, 0)).collect();
+    for round in 0..40 {
+        fleet.round(at(round * 250), &news);
+    }
+    assert_eq!(fleet.peers[0].sharing(), 8);
+    fleet.peers[0].tick(&news[0], at(20_000));
+    assert_eq!(fleet.peers[0].alive(), 0);
+    assert_eq!(fleet.peers[0].sharing(), 8);
+    assert!(peers(1, &[]).sharing() > 1, "alone is not believed at once");
+}
+
+#[test]
+fn a_new_life_of_a_peer_is_told() {
+    let mut first = peers(0, &[]);
+    let mut second = peers(1, &[0]);
+    let datagram = second.tick(&own(1, 0), at(250)).remove(0);
+    assert!(first.receive(&datagram.news, at(250)));
+    assert!(!first.receive(&datagram.news, at(500)));
+    let mut restarted = datagram.news.clone();
+    restarted.incarnation += 1;
+    assert!(first.receive(&restarted, at(750)));
+}
+
+#[test]
+fn addresses_of_machines_that_are_gone_are_dropped() {
+    let mut fleet = Fleet::new(4);
+    let news: Vec<_> = (0..4).map(|_| own(1, 0)).collect();
+    for round in 0..20 {
+        fleet.round(at(round * 250), &news);
+    }
+    let told = |fleet: &mut Fleet, from: u64| {
+        let mut told = HashSet::new();
+        for round in 0..12 {
+            let datagrams = fleet.peers[1].tick(&news[1], at(from + round * 250));
+            told.extend(datagrams.into_iter().map(|datagram| datagram.to));
+        }
+        told
+    };
+    assert_eq!(told(&mut fleet, 6_000).len(), 3);
+    let seed_only = HashSet::from([address(0)]);
+    assert_eq!(told(&mut fleet, 60_000), seed_only);
+}
--- a/crates/stacktack-direct/src/news.rs
+++ b/crates/stacktack-direct/src/news.rs
@@ -8,8 +8,6 @@
 
 use bytes::Bytes;
 use hyper::{Request, StatusCode};
-use rand::SeedableRng;
-use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
 use stacktack_core::direct::back_end::BackEndEntry;
 use stacktack_core::direct::peers::{OwnNews, PeerNews, ShortId, MAXIMUM_DATAGRAM};
@@ -136,12 +134,11 @@
 
 /// Tells peers and learns from them for ever.
 pub async fn exchange(router: Rc<Router>, socket: Rc<UdpSocket>, store: Rc<Dependency>) {
-    let mut random = ChaCha8Rng::from_rng(&mut rand::rng());
     let mut configuration = Behind::default();
     let mut directory = Behind::default();
     loop {
         sleep(INTERVAL).await;
-        tell(&router, &socket, &store, &mut random).await;
+        tell(&router, &socket, &store).await;
         router.take_peer_loads();
         let now = router.now();
         let newest = router.peers.borrow().newest_configuration();
@@ -171,7 +168,7 @@
             .collect(),
     };
     let now = router.now();
-    let outgoing = router.peers.borrow_mut().tick(&own, now, random);
+    let outgoing = router.peers.borrow_mut().tick(&own, now);
     for datagram in outgoing {
         let Ok(bytes) = postcard::to_allocvec(&datagram.news) else {
             continue;
