--- a/crates/stacktack-direct/src/news.rs
+++ b/crates/stacktack-direct/src/news.rs
@@ -151,7 +151,7 @@
     }
 }
 
-async fn tell(router: &Router, socket: &UdpSocket, store: &Dependency, random: &mut ChaCha8Rng) {
+async fn tell(router: &Router, socket: &UdpSocket, store: &Dependency) {
     let own = OwnNews {
         configuration: router.version(),
         directory: router.directory_changed.get(),
