While it ends, a router serves on until another one does

Change: the time of serving after the signal grows from 2.6 to at most 3.8 s while no peer serves; then what comes is refused as not run, with the time in which a router is back; once a peer serves, the address is closed.

--- a/crates/stacktack-core/src/direct/peers.rs
+++ b/crates/stacktack-core/src/direct/peers.rs
@@ -78,6 +78,8 @@
     pub directory: u64,
     /// Whether the directory answered the sender steadily of late.
     pub settled: bool,
+    /// Whether the sender takes callers.
+    pub serving: bool,
     /// Requests in flight from the sender, by back end; absent ones have none.
     pub loads: Vec<(ShortId, u16)>,
     /// Prompt parts and the back end that read them last.
@@ -93,6 +95,7 @@
     configuration: u64,
     directory: u64,
     settled: bool,
+    serving: bool,
     loads: Vec<(ShortId, u16)>,
 }
 
@@ -114,6 +117,8 @@
     pub directory: u64,
     /// Whether the directory answered steadily of late.
     pub settled: bool,
+    /// Whether this router takes callers.
+    pub serving: bool,
     /// Requests in flight by back end.
     pub loads: Vec<(ShortId, u16)>,
 }
@@ -239,6 +244,7 @@
             configuration: own.configuration,
             directory: own.directory,
             settled: own.settled,
+            serving: own.serving,
             loads,
             places,
             routers,
@@ -267,6 +273,7 @@
                 configuration: news.configuration,
                 directory: news.directory,
                 settled: news.settled,
+                serving: news.serving,
                 loads: news.loads.clone(),
             },
         );
@@ -310,6 +317,11 @@
         self.peers.len()
     }
 
+    /// Whether some peer takes callers, as far as known.
+    pub fn any_serving(&self) -> bool {
+        self.peers.values().any(|peer| peer.serving)
+    }
+
     /// Requests in flight from the peers, by back end.
     pub fn loads(&self) -> HashMap<ShortId, u32> {
         let mut sums = HashMap::new();
--- a/crates/stacktack-core/tests/peers.rs
+++ b/crates/stacktack-core/tests/peers.rs
@@ -76,6 +76,7 @@
         configuration,
         directory: configuration,
         settled: true,
+        serving: load > 0,
         loads: vec![(ShortId(5), load)],
     }
 }
@@ -89,6 +90,7 @@
     }
     assert_eq!(fleet.peers[0].alive(), 3);
     assert_eq!(fleet.peers[0].loads().get(&ShortId(5)), Some(&6));
+    assert!(fleet.peers[0].any_serving());
     fleet.peers[0].tick(&news[0], at(60_000));
     assert_eq!(fleet.peers[0].alive(), 0);
     assert!(fleet.peers[0].loads().is_empty());
@@ -118,6 +120,7 @@
     assert_eq!(fleet.peers[0].newest_configuration(), Some((address(2), 7)));
     assert_eq!(fleet.peers[0].newest_directory(), Some((address(2), 7)));
     assert!(fleet.peers[0].any_settled());
+    assert!(!fleet.peers[0].any_serving());
 }
 
 /// Found by counting tokens read again: the same places went to the first
--- a/crates/stacktack-direct/src/app.rs
+++ b/crates/stacktack-direct/src/app.rs
@@ -24,6 +24,13 @@
 /// sends callers here has to notice first.
 const LOOK_AWAY: Duration = Duration::from_millis(2600);
 
+/// Time after a stop signal for which callers are served while no other router
+/// is known to take them. Answers begun then still have half of a usual grace.
+const LAST_SERVING: Duration = Duration::from_millis(3800);
+
+/// Time that the last bytes of an answer are given to leave.
+const FLUSH: Duration = Duration::from_millis(200);
+
 /// Time between looks at open connections while stopping.
 const STOP_POLL: Duration = Duration::from_millis(50);
 
@@ -159,10 +166,22 @@
     let end = Instant::now() + grace.saturating_sub(GRACE_MARGIN);
     log::info!(target: "router", "stopping open_connections={}", router.open_connections.get());
     router.phase.send_replace(Phase::Closing);
+    let begun = Instant::now();
     sleep(LOOK_AWAY).await;
+    while !router.peers.borrow().any_serving() && begun.elapsed() < LAST_SERVING {
+        sleep(STOP_POLL).await;
+    }
     router.phase.send_replace(Phase::Draining);
+    let mut quiet_since = None;
     while router.open_connections.get() > 0 && Instant::now() < end {
         sleep_until((Instant::now() + STOP_POLL).min(end)).await;
+        quiet_since = match router.exchanges.get() {
+            0 => quiet_since.or(Some(Instant::now())),
+            _ => None,
+        };
+        if quiet_since.is_some_and(|since| since.elapsed() >= FLUSH) {
+            break;
+        }
     }
     log::info!(target: "router", "stopped open_connections={}", router.open_connections.get());
 }
--- a/crates/stacktack-direct/src/exchange.rs
+++ b/crates/stacktack-direct/src/exchange.rs
@@ -25,7 +25,7 @@
 use crate::attempt::{Attempt, AttemptEnd, StoredAnswer};
 use crate::client::{ClientConnection, SendError};
 use crate::ports::{CallerRequest, ForwardOrder, Refusal, RefusalKind};
-use crate::router::Router;
+use crate::router::{Phase, Router};
 
 /// Longest time for a connection to a back end to come up.
 const CONNECT_LIMIT: Duration = Duration::from_millis(150);
@@ -49,6 +49,9 @@
 /// Time after which a caller may come back while nothing is known yet.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Time in which a stopped router is back, as a rule.
+const RETURN_TIME: Duration = Duration::from_millis(900);
+
 /// How a request ended, for its log line and metrics.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -95,6 +98,7 @@
 
 impl Drop for Exchange {
     fn drop(&mut self) {
+        self.router.exchanges.set(self.router.exchanges.get() - 1);
         let seconds = self.started.elapsed().as_secs_f64();
         self.router
             .metrics
@@ -148,7 +152,12 @@
         refused.kind.word(),
     );
     router.metrics.count_request(refused.kind.word(), 0.0);
-    let retry_after = (refused.kind == RefusalKind::NotReady).then_some(NOT_READY_RETRY_AFTER);
+    let retry_after = match refused.kind {
+        RefusalKind::NotReady => Some(NOT_READY_RETRY_AFTER),
+        RefusalKind::Stopping if router.peers.borrow().any_serving() => Some(RETRY_AFTER),
+        RefusalKind::Stopping => Some(RETURN_TIME),
+        _ => None,
+    };
     let refusal = Refusal {
         kind: refused.kind,
         retry_after,
@@ -171,6 +180,9 @@
         id: id.clone(),
         version,
     };
+    if *router.phase.borrow() == Phase::Draining {
+        return Err(refused(RefusalKind::Stopping));
+    }
     let configuration = known.ok_or_else(|| refused(RefusalKind::NotReady))?;
     let route = find_route(&configuration, &head).ok_or_else(|| refused(RefusalKind::NoRoute))?;
     let tenant = find_tenant(&configuration, &route, &caller)
@@ -191,6 +203,7 @@
     };
     let target = draw_target(&route.targets, rand::rng().next_u32());
     router.count_request(&route.targets[target].back_ends);
+    router.exchanges.set(router.exchanges.get() + 1);
     Ok(Box::new(Exchange {
         router: router.clone(),
         route,
--- a/crates/stacktack-direct/src/news.rs
+++ b/crates/stacktack-direct/src/news.rs
@@ -155,6 +155,7 @@
     let own = OwnNews {
         configuration: router.version(),
         directory: router.directory_changed.get(),
+        serving: router.is_ready(),
         settled: store.is_settled(router.now(), router.bounds().settle),
         loads: router
             .back_ends
--- a/crates/stacktack-direct/src/ports.rs
+++ b/crates/stacktack-direct/src/ports.rs
@@ -89,6 +89,8 @@
     BodyTimeout,
     /// The router knows no configuration yet.
     NotReady,
+    /// The router is about to end.
+    Stopping,
     /// No back end can take the request now.
     NoBackEnd,
     /// Back ends refused it; it did not run.
@@ -114,6 +116,7 @@
             RefusalKind::BodyTooLarge => "body_too_large",
             RefusalKind::BodyTimeout => "body_timeout",
             RefusalKind::NotReady => "not_ready",
+            RefusalKind::Stopping => "stopping",
             RefusalKind::NoBackEnd => "no_back_end",
             RefusalKind::Rejected => "rejected",
             RefusalKind::Lost => "lost",
--- a/crates/stacktack-direct/src/router.rs
+++ b/crates/stacktack-direct/src/router.rs
@@ -29,7 +29,8 @@
     Serving,
     /// Takes requests, but says that each connection ends with its answer.
     Closing,
-    /// Closes resting connections; answers under way end.
+    /// Closes resting connections and refuses what still comes; answers under
+    /// way end.
     Draining,
 }
 
@@ -59,6 +60,8 @@
     pub metrics: DirectMetrics,
     /// How far the process is on its way to its end.
     pub phase: watch::Sender<Phase>,
+    /// Requests under way.
+    pub exchanges: Cell<usize>,
     /// Open callers' connections.
     pub open_connections: Cell<usize>,
     origin: Instant,
@@ -94,6 +97,7 @@
             directory_changed: Cell::new(0),
             metrics,
             phase: watch::Sender::new(Phase::Serving),
+            exchanges: Cell::new(0),
             open_connections: Cell::new(0),
             origin: Instant::now(),
         }
--- a/crates/stacktack-direct/src/server.rs
+++ b/crates/stacktack-direct/src/server.rs
@@ -26,6 +26,9 @@
 /// Pause after a failed accept, for descriptors to come free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Time between looks at whether another router serves.
+const TAKE_OVER_LOOK: Duration = Duration::from_millis(50);
+
 /// Largest head that is buffered for one connection, in bytes, unless the
 /// configuration allows more.
 const BUFFER_BYTES: usize = 32 * 1024;
@@ -38,25 +41,42 @@
     socket.listen(BACKLOG)
 }
 
-/// Accepts callers until the phase says that nothing new is taken.
+/// Accepts callers until the process ends, and until others take them: then a
+/// refused connection sends a caller on at once, while an answer would cost it
+/// one of its tries. While nobody else serves, who comes is told so.
 pub async fn accept_callers(router: Rc<Router>, listener: TcpListener) {
-    let mut phase = router.phase.subscribe();
     loop {
-        tokio::select! {
-            accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => {
-                    actix_rt::spawn(serve_caller(router.clone(), stream));
-                }
-                Err(error) => {
-                    log::warn!(target: "callers", "accepting failed: {error}");
-                    sleep(ACCEPT_PAUSE).await;
-                }
-            },
-            _ = phase.wait_for(|phase| *phase == Phase::Draining) => return,
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = others_take_over(&router) => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                actix_rt::spawn(serve_caller(router.clone(), stream));
+            }
+            Err(error) => {
+                log::warn!(target: "callers", "accepting failed: {error}");
+                sleep(ACCEPT_PAUSE).await;
+            }
         }
     }
 }
 
+/// Waits until this router drains and another one serves.
+async fn others_take_over(router: &Router) {
+    let mut phase = router.phase.subscribe();
+    if phase
+        .wait_for(|phase| *phase == Phase::Draining)
+        .await
+        .is_err()
+    {
+        return;
+    }
+    while !router.peers.borrow().any_serving() {
+        sleep(TAKE_OVER_LOOK).await;
+    }
+}
+
 /// Keeps the count of open connections.
 struct OpenConnection(Rc<Router>);
 
