Let few connections rest; a connection turned away proves not run

Seen as end=broken 2 ms after the choice; waiting 3 ms before writing turned all of them into end=unreached (3,118), which named the limit as the cause. Ruled out: crashes and hangs of those workers (8 s earlier), load (2 to 6 in flight). Change: one connection rests for each 8 slots, 2 at least; once-only requests wait 3 ms for a reset before they are written.

--- a/crates/stacktack-direct/src/attempt.rs
+++ b/crates/stacktack-direct/src/attempt.rs
@@ -43,6 +43,7 @@
     pub address: SocketAddr,
     /// The connection, once the head of the answer is there.
     pub connection: Option<ClientConnection>,
+    slots: u32,
     written: Instant,
     rest_seconds: Option<u64>,
 }
@@ -51,16 +52,17 @@
     /// Counts the attempt at its back end; `None` if that is not known any more.
     pub fn begin(router: Rc<Router>, back_end: &str) -> Option<Self> {
         let now = router.now();
-        let address = {
+        let (address, slots) = {
             let mut back_ends = router.back_ends.borrow_mut();
             let known = back_ends.get_mut(back_end)?;
             known.on_send(now);
-            known.entry.address
+            (known.entry.address, known.entry.slots)
         };
         Some(Attempt {
             router,
             back_end: back_end.to_owned(),
             address,
+            slots,
             connection: None,
             written: Instant::now(),
             rest_seconds: None,
@@ -129,7 +131,8 @@
         if let Some(connection) = self.connection.take() {
             if connection.is_open() {
                 let mut resting = self.router.connections.borrow_mut();
-                resting.put(self.address, connection, self.rest_seconds, Instant::now());
+                let now = Instant::now();
+                resting.put(self.address, self.slots, connection, self.rest_seconds, now);
             }
         }
     }
--- a/crates/stacktack-direct/src/client.rs
+++ b/crates/stacktack-direct/src/client.rs
@@ -31,6 +31,9 @@
     /// No answer came in time.
     #[error("connecting took too long")]
     Timeout,
+    /// The connection came up and was closed before anything was written.
+    #[error("the connection was turned away")]
+    TurnedAway,
     /// The connection was refused or failed.
     #[error("connecting failed: {0}")]
     Io(#[from] std::io::Error),
@@ -73,9 +76,26 @@
 impl ClientConnection {
     /// Connects within a time limit.
     pub async fn open(address: SocketAddr, limit: Duration) -> Result<Self, ConnectError> {
-        let stream = timeout(limit, TcpStream::connect(address))
-            .await
-            .map_err(|_| ConnectError::Timeout)??;
+        let stream = connect(address, limit).await?;
+        Self::over(stream).await
+    }
+
+    /// Connects, and waits a moment for the other side to turn the connection
+    /// away: an overloaded one accepts and resets at once. Nothing has been
+    /// written then, so that this proves that nothing ran.
+    pub async fn open_accepted(
+        address: SocketAddr,
+        limit: Duration,
+        moment: Duration,
+    ) -> Result<Self, ConnectError> {
+        let stream = connect(address, limit).await?;
+        if timeout(moment, stream.readable()).await.is_ok() {
+            return Err(ConnectError::TurnedAway);
+        }
+        Self::over(stream).await
+    }
+
+    async fn over(stream: TcpStream) -> Result<Self, ConnectError> {
         stream.set_nodelay(true)?;
         SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
         let (sender, connection) = http1::Builder::new()
@@ -115,6 +135,13 @@
     }
 }
 
+async fn connect(address: SocketAddr, limit: Duration) -> Result<TcpStream, ConnectError> {
+    let stream = timeout(limit, TcpStream::connect(address))
+        .await
+        .map_err(|_| ConnectError::Timeout)??;
+    Ok(stream)
+}
+
 /// Sends a request and reads its whole answer within a time limit.
 pub async fn whole_answer(
     connection: &mut ClientConnection,
--- a/crates/stacktack-direct/src/connection.rs
+++ b/crates/stacktack-direct/src/connection.rs
@@ -12,8 +12,12 @@
 /// Share of the told rest after which a connection is not used any more.
 const REST_SHARE: f64 = 0.6;
 
-/// Connections that rest for one back end at most.
-const RESTING_PER_BACK_END: usize = 24;
+/// A back end's requests at once for each connection that rests there: it takes
+/// only so many connections from all routers, and turns more away.
+const SLOTS_PER_RESTING: u32 = 8;
+
+/// Connections that rest for any back end.
+const LEAST_RESTING: usize = 2;
 
 struct Resting {
     connection: ClientConnection,
@@ -38,10 +42,12 @@
         None
     }
 
-    /// Puts a connection to rest; `told` is the rest that the back end allows.
+    /// Puts a connection to rest, unless enough rest there; `told` is the rest
+    /// in seconds that the back end allows.
     pub fn put(
         &mut self,
         address: SocketAddr,
+        slots: u32,
         connection: ClientConnection,
         told: Option<u64>,
         now: Instant,
@@ -50,7 +56,8 @@
             Duration::from_secs(seconds).mul_f64(REST_SHARE)
         });
         let resting = self.by_address.entry(address).or_default();
-        if resting.len() < RESTING_PER_BACK_END {
+        let most = LEAST_RESTING.max((slots / SLOTS_PER_RESTING) as usize);
+        if resting.len() < most {
             resting.push(Resting {
                 connection,
                 until: now + rest,
--- a/crates/stacktack-direct/src/exchange.rs
+++ b/crates/stacktack-direct/src/exchange.rs
@@ -23,13 +23,16 @@
 
 use crate::answer::{AnswerBody, StreamAnswer};
 use crate::attempt::{Attempt, AttemptEnd, StoredAnswer};
-use crate::client::{ClientConnection, SendError};
+use crate::client::{ClientConnection, ConnectError, SendError};
 use crate::ports::{CallerRequest, ForwardOrder, Refusal, RefusalKind};
 use crate::router::{Phase, Router};
 
 /// Longest time for a connection to a back end to come up.
 const CONNECT_LIMIT: Duration = Duration::from_millis(150);
 
+/// Time in which an overloaded back end turns a new connection away.
+const TURN_AWAY: Duration = Duration::from_millis(3);
+
 /// Objectives after which an attempt without an answer is given up, where the
 /// request may be repeated.
 const SILENCE_OBJECTIVES: u32 = 2;
@@ -455,7 +458,7 @@
         loop {
             let (mut connection, rested) = match resting.take() {
                 Some(connection) => (connection, true),
-                None => match ClientConnection::open(address, CONNECT_LIMIT).await {
+                None => match self.open_connection(address).await {
                     Ok(connection) => (connection, false),
                     Err(_) => return Err(AttemptFailure::Unreached),
                 },
@@ -481,6 +484,15 @@
         }
     }
 
+    /// What may run once waits a moment for the connection to be turned away.
+    async fn open_connection(&self, address: SocketAddr) -> Result<ClientConnection, ConnectError> {
+        if self.route.kind.is_idempotent() {
+            ClientConnection::open(address, CONNECT_LIMIT).await
+        } else {
+            ClientConnection::open_accepted(address, CONNECT_LIMIT, TURN_AWAY).await
+        }
+    }
+
     /// Time that an attempt is given for the head of its answer.
     fn attempt_patience(&self) -> Duration {
         let remaining = self.limit.saturating_duration_since(Instant::now());
