--- a/crates/stacktack-core/src/direct/back_end.rs
+++ b/crates/stacktack-core/src/direct/back_end.rs
@@ -43,6 +43,9 @@
 /// A time to the first byte is degraded above this multiple of the pool's mean.
 const SLOW_FACTOR: f64 = 3.0;
 
+/// Age up to which a told load counts.
+const TOLD_LOAD_AGE: Duration = Duration::from_millis(300);
+
 /// Time after which a back end that got no requests is given the benefit of the doubt.
 const FORGET: Duration = Duration::from_secs(3);
 
@@ -97,6 +100,8 @@
     pub in_flight: u32,
     /// Requests of other routers in flight there, as they last told.
     pub in_flight_elsewhere: f64,
+    /// What it told of requests from elsewhere, and when.
+    told_elsewhere: Option<(f64, Time)>,
     failures_in_a_row: u32,
     ejected_until: Option<Time>,
     failure_share: f64,
@@ -113,6 +118,7 @@
             id_hash,
             in_flight: 0,
             in_flight_elsewhere: 0.0,
+            told_elsewhere: None,
             failures_in_a_row: 0,
             ejected_until: None,
             failure_share: 0.0,
@@ -122,9 +128,20 @@
         }
     }
 
-    /// Requests in flight there from all routers, as far as known.
-    pub fn load(&self) -> f64 {
-        f64::from(self.in_flight) + self.in_flight_elsewhere
+    /// Requests in flight there from all routers, as far as known: the more of
+    /// what the peers told and what the back end told a moment ago.
+    pub fn load(&self, now: Time) -> f64 {
+        let told = self
+            .told_elsewhere
+            .filter(|(_, at)| now.since(*at) < TOLD_LOAD_AGE)
+            .map_or(0.0, |(load, _)| load);
+        f64::from(self.in_flight) + self.in_flight_elsewhere.max(told)
+    }
+
+    /// The back end told all that it runs and holds, this router's among it.
+    pub fn on_load(&mut self, requests: u32, now: Time) {
+        let elsewhere = requests.saturating_sub(self.in_flight);
+        self.told_elsewhere = Some((f64::from(elsewhere), now));
     }
 
     /// A request was sent there.
--- a/crates/stacktack-core/src/direct/select.rs
+++ b/crates/stacktack-core/src/direct/select.rs
@@ -41,8 +41,8 @@
 impl Default for SelectBounds {
     fn default() -> Self {
         SelectBounds {
-            spill_factor: 1.75,
-            spill_slack: 3.0,
+            spill_factor: 1.5,
+            spill_slack: 2.0,
             zone_slack: 1.5,
         }
     }
--- a/crates/stacktack-core/tests/direct.rs
+++ b/crates/stacktack-core/tests/direct.rs
@@ -428,3 +428,18 @@
     let pool = all.pool(at(0), |entry| wanted.matches(&entry.labels));
     assert!(pool.is_empty());
 }
+
+#[test]
+fn the_load_is_the_more_of_what_peers_and_the_back_end_told() {
+    let mut all = back_ends(&["a"]);
+    let member = all.get_mut("a").expect("known");
+    member.on_send(at(0));
+    member.in_flight_elsewhere = 2.0;
+    let near = |left: f64, right: f64| (left - right).abs() < 1e-9;
+    assert!(near(member.load(at(0)), 3.0));
+    member.on_load(6, at(10));
+    assert!(near(member.load(at(20)), 6.0));
+    assert!(near(member.load(at(400)), 3.0), "told too long ago");
+    member.on_load(1, at(500));
+    assert!(near(member.load(at(500)), 3.0));
+}
--- a/crates/stacktack-direct/src/attempt.rs
+++ b/crates/stacktack-direct/src/attempt.rs
@@ -85,9 +85,13 @@
         self.rest_seconds = told.rest_seconds;
         let now = self.router.now();
         let after = self.written.elapsed();
+        let load = told.load.map(|load| load.running + load.waiting);
         self.with_back_end(|back_end| {
             back_end.on_bytes(now);
             back_end.on_first_byte(after);
+            if let Some(load) = load {
+                back_end.on_load(load, now);
+            }
         });
     }
 
--- a/crates/stacktack-direct/src/exchange.rs
+++ b/crates/stacktack-direct/src/exchange.rs
@@ -52,6 +52,10 @@
 /// Time after which a caller may come back while nothing is known yet.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Time after which a caller may come back while the store does not answer and
+/// nothing is known: outages last seconds.
+const OUTAGE_RETRY_AFTER: Duration = Duration::from_millis(2500);
+
 /// Time in which a stopped router is back, as a rule.
 const RETURN_TIME: Duration = Duration::from_millis(900);
 
@@ -156,6 +160,7 @@
     );
     router.metrics.count_request(refused.kind.word(), 0.0);
     let retry_after = match refused.kind {
+        RefusalKind::NotReady if router.store_lost.get() => Some(OUTAGE_RETRY_AFTER),
         RefusalKind::NotReady => Some(NOT_READY_RETRY_AFTER),
         RefusalKind::Stopping if router.peers.borrow().any_serving() => Some(RETRY_AFTER),
         RefusalKind::Stopping => Some(RETURN_TIME),
--- a/crates/stacktack-direct/src/followers.rs
+++ b/crates/stacktack-direct/src/followers.rs
@@ -167,6 +167,7 @@
             Ok(news) => {
                 pause.reset();
                 store.on_answer(now);
+                follower.router.store_lost.set(false);
                 after = Some(news.revision);
                 let settle = follower.router.bounds().settle;
                 let settled =
@@ -177,6 +178,7 @@
             Err(SourceError::HistoryGone) => after = None,
             Err(error) => {
                 store.on_failure(now, error);
+                follower.router.store_lost.set(true);
                 pause.take().await;
             }
         }
--- a/crates/stacktack-direct/src/router.rs
+++ b/crates/stacktack-direct/src/router.rs
@@ -60,6 +60,8 @@
     pub metrics: DirectMetrics,
     /// How far the process is on its way to its end.
     pub phase: watch::Sender<Phase>,
+    /// Whether the store does not answer.
+    pub store_lost: Cell<bool>,
     /// Requests under way.
     pub exchanges: Cell<usize>,
     /// Open callers' connections.
@@ -97,6 +99,7 @@
             directory_changed: Cell::new(0),
             metrics,
             phase: watch::Sender::new(Phase::Serving),
+            store_lost: Cell::new(false),
             exchanges: Cell::new(0),
             open_connections: Cell::new(0),
             origin: Instant::now(),
@@ -214,7 +217,7 @@
             candidates.push(DirectCandidate {
                 index,
                 id_hash: member.id_hash,
-                load: member.load(),
+                load: member.load(now),
                 slots: f64::from(member.entry.slots),
                 same_zone: zone == Some(&self.settings.zone),
                 standing,
