Explain a failed request from its id and the logs of all processes

stacktack-ctl explain-log ID [FILE...] joins what was believed and what happened in the order of time and names the cause; retries that the budget allowed or denied and streams that broke off are logged; choices carry configuration, directory and peers. A request whose time is over while an attempt is silent is told as such, not as lost.

--- a/crates/stacktack-ctl/src/app.rs
+++ b/crates/stacktack-ctl/src/app.rs
@@ -1,8 +1,11 @@
 //! Reading the command line and running a command.
 
+use std::io::Read;
+
 use stacktack_node::client::PlatformClient;
 use stacktack_node::settings::{read_or_exit, Flag, Settings};
 
+use crate::account::account;
 use crate::commands::{self, Context};
 use crate::output::{CommandError, EXIT_DONE};
 
@@ -40,17 +43,28 @@
   status              list every process and its state
   drain NAME          take no new work at a back end's agent
   undrain NAME        take work again
-  explain ID          say why a request went where it went";
+  explain ID          say why a request went where it went
+  explain-log ID [FILE...]  the same from logs of all processes; standard input
+                      without FILE, no platform needed";
 
 /// Runs the command line; returns its exit code.
 pub fn main() -> i32 {
     let mut settings = read_or_exit("stacktack-ctl", SUMMARY, FLAGS);
     let arguments = std::mem::take(&mut settings.free);
+    if let [command, id, files @ ..] = arguments.as_slice() {
+        if command == "explain-log" {
+            return finish(explain_log(id, files));
+        }
+    }
     let result = actix_rt::System::new().block_on(async move {
         let context = read_context(&mut settings);
         settings.check_or_exit();
         run(&context, &arguments).await
     });
+    finish(result)
+}
+
+fn finish(result: Result<(), CommandError>) -> i32 {
     match result {
         Ok(()) => EXIT_DONE,
         Err(error) => {
@@ -60,6 +74,29 @@
     }
 }
 
+/// Prints the account of a request from log files, or from standard input.
+fn explain_log(id: &str, files: &[String]) -> Result<(), CommandError> {
+    let mut text = String::new();
+    if files.is_empty() {
+        let read = std::io::stdin().read_to_string(&mut text);
+        read.map_err(|source| CommandError::File {
+            path: "standard input".to_owned(),
+            source,
+        })?;
+    }
+    for path in files {
+        let bytes = std::fs::read(path).map_err(|source| CommandError::File {
+            path: path.clone(),
+            source,
+        })?;
+        text.push_str(&String::from_utf8_lossy(&bytes));
+    }
+    let account =
+        account(id, text.lines()).ok_or_else(|| CommandError::NotLogged(id.to_owned()))?;
+    println!("{account}");
+    Ok(())
+}
+
 fn read_context(settings: &mut Settings) -> Context {
     Context {
         platform: PlatformClient::new(settings.address("platform")),
--- a/crates/stacktack-ctl/src/output.rs
+++ b/crates/stacktack-ctl/src/output.rs
@@ -37,6 +37,9 @@
         /// Why.
         source: std::io::Error,
     },
+    /// No log line names the request.
+    #[error("no line of these logs names request {0}")]
+    NotLogged(String),
     /// A document is not acceptable.
     #[error(transparent)]
     Document(#[from] DocumentError),
@@ -74,9 +77,10 @@
     /// Exit code of the failure.
     pub fn exit_code(&self) -> i32 {
         match self {
-            CommandError::Usage(_) | CommandError::Document(_) | CommandError::File { .. } => {
-                EXIT_INVALID
-            }
+            CommandError::Usage(_)
+            | CommandError::Document(_)
+            | CommandError::File { .. }
+            | CommandError::NotLogged(_) => EXIT_INVALID,
             CommandError::Store(StoreError::LostRace) => EXIT_LOST_RACE,
             CommandError::Store(StoreError::Unknown(_)) => EXIT_UNKNOWN,
             CommandError::NotVerified(_) => EXIT_NOT_VERIFIED,
--- a/crates/stacktack-direct/src/answer.rs
+++ b/crates/stacktack-direct/src/answer.rs
@@ -251,6 +251,7 @@
         }
         drop(attempt);
         let Some(splitter) = &mut self.splitter else {
+            exchange.note_failure(failure, "-");
             exchange.outcome = Outcome::BrokenOff;
             return false;
         };
--- a/crates/stacktack-direct/src/exchange.rs
+++ b/crates/stacktack-direct/src/exchange.rs
@@ -318,7 +318,8 @@
         }
     }
 
-    fn note_failure(&mut self, failure: AttemptFailure, after: &str) {
+    /// Counts and logs an attempt that failed.
+    pub(crate) fn note_failure(&mut self, failure: AttemptFailure, after: &str) {
         self.in_doubt = false;
         self.ledger.count(failure);
         self.router.metrics.count_attempt(failure.word());
@@ -342,7 +343,7 @@
         {
             return false;
         }
-        self.ledger.sends == 0 || self.router.take_retry(self.pool())
+        self.ledger.sends == 0 || self.router.take_retry(&self.id, self.pool())
     }
 
     /// Whole answers are held until they are complete, so that one that breaks
@@ -381,7 +382,7 @@
         };
         log::info!(
             target: "choice",
-            "id={} part={:x} tokens={} back_end={} load={:.1} mean={:.1} rank={} standing={} fetch={}",
+            "id={} part={:x} tokens={} back_end={} load={:.1} mean={:.1} rank={} standing={} fetch={} config={} directory={} peers={}",
             self.id,
             self.caller.prompt.affinity_part().map_or(0, |part| part.id),
             self.caller.prompt.shared_tokens(),
@@ -391,6 +392,9 @@
             selection.rank,
             standing.word(),
             fetch_from.map_or_else(|| "-".to_owned(), |holder| holder.to_string()),
+            self.version,
+            self.router.directory_changed.get(),
+            self.router.peers.borrow().alive(),
         );
         let end = self
             .exchange_head(&mut attempt, resume_after, fetch_from)
@@ -634,7 +638,9 @@
             head.headers = self.router.protocol.answer_headers(&head.headers);
             return Response::from_parts(head, AnswerBody::whole(stored.body));
         }
-        let kind = if self.ledger.may_have_run {
+        let kind = if self.ledger.may_have_run && Instant::now() >= self.limit {
+            RefusalKind::TimeOver
+        } else if self.ledger.may_have_run {
             RefusalKind::Lost
         } else if self.ledger.sends > 0 {
             RefusalKind::Rejected
--- a/crates/stacktack-direct/src/router.rs
+++ b/crates/stacktack-direct/src/router.rs
@@ -173,12 +173,17 @@
         self.with_budget(pool, |budget| budget.count_request(now));
     }
 
-    /// Takes one repeated send to a pool from the budget.
-    pub fn take_retry(&self, pool: &[Requirement]) -> bool {
+    /// Takes one repeated send of a request to a pool from the budget.
+    pub fn take_retry(&self, id: &str, pool: &[Requirement]) -> bool {
         let now = self.now();
         let routers = self.peers.borrow().sharing();
         let taken = self.with_budget(pool, |budget| budget.take(now, routers));
         self.metrics.count_retry(taken);
+        log::info!(
+            target: "retry",
+            "id={id} pool={} allowed={taken} sharing={routers}",
+            pool_name(pool),
+        );
         taken
     }
 
