--- a/crates/stacktack-core/src/direct/route.rs
+++ b/crates/stacktack-core/src/direct/route.rs
@@ -67,6 +67,26 @@
     pub public: bool,
 }
 
+impl Route {
+    /// The target that a draw falls on, by weight.
+    pub fn draw_target(&self, draw: u32) -> usize {
+        let sum: u64 = self
+            .targets
+            .iter()
+            .map(|target| u64::from(target.weight))
+            .sum();
+        let mut left = u64::from(draw) % sum.max(1);
+        for (index, target) in self.targets.iter().enumerate() {
+            let weight = u64::from(target.weight);
+            if left < weight {
+                return index;
+            }
+            left -= weight;
+        }
+        0
+    }
+}
+
 /// Routes by host and path prefix.
 #[derive(Clone, Debug, Default)]
 pub struct RouteTable {
--- a/crates/stacktack-core/tests/direct.rs
+++ b/crates/stacktack-core/tests/direct.rs
@@ -443,3 +443,20 @@
     member.on_load(1, at(500));
     assert!(near(member.load(at(500)), 3.0));
 }
+
+#[test]
+fn traffic_is_split_by_weight() {
+    let mut split = route("r", "a.example", "/x/");
+    let target = |weight| Target {
+        back_ends: Vec::new(),
+        weight,
+    };
+    split.targets = vec![target(90), target(0), target(10)];
+    let mut counts = [0; 3];
+    for draw in 0..1000 {
+        counts[split.draw_target(draw)] += 1;
+    }
+    assert_eq!(counts, [900, 0, 100]);
+    split.targets = vec![target(0)];
+    assert_eq!(split.draw_target(7), 0);
+}
--- /dev/null
+++ b/crates/stacktack-direct/src/admission.rs
@@ -0,0 +1,161 @@
+//! From a caller's request head to an exchange, or an early refusal.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::http::request;
+use hyper::{Request, Response};
+use rand::Rng;
+use stacktack_core::direct::attempt::AttemptLedger;
+use stacktack_core::direct::route::{Route, Tenant, TrafficConfiguration};
+use tokio::time::timeout_at;
+
+use crate::answer::AnswerBody;
+use crate::exchange::{Exchange, Outcome};
+use crate::ports::{CallerRequest, Refusal, RefusalKind};
+use crate::router::{Phase, Router};
+
+/// Time after which a caller may come back when nobody could take its request.
+pub const RETRY_AFTER: Duration = Duration::from_millis(150);
+
+/// Time after which a caller may come back while nothing is known yet.
+const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// Time after which a caller may come back while the store does not answer and
+/// nothing is known: outages last seconds.
+const OUTAGE_RETRY_AFTER: Duration = Duration::from_millis(2500);
+
+/// Time in which a stopped router is back, as a rule.
+const RETURN_TIME: Duration = Duration::from_millis(900);
+
+/// Answers one request.
+pub async fn answer(router: Rc<Router>, request: Request<Incoming>) -> Response<AnswerBody> {
+    let started = Instant::now();
+    let (head, body) = request.into_parts();
+    let caller = router.protocol.read_request(&head);
+    match admit(&router, started, head, body, caller).await {
+        Ok(exchange) => exchange.run().await,
+        Err(refused) => refuse_early(&router, refused),
+    }
+}
+
+/// A request that was refused before it became an exchange.
+struct RefusedEarly {
+    kind: RefusalKind,
+    id: Option<String>,
+    version: u64,
+}
+
+fn refuse_early(router: &Router, refused: RefusedEarly) -> Response<AnswerBody> {
+    let id = refused.id.as_deref();
+    log::info!(
+        target: "request",
+        "id={} config={} outcome={}",
+        id.unwrap_or("-"),
+        refused.version,
+        refused.kind.word(),
+    );
+    router.metrics.count_request(refused.kind.word(), 0.0);
+    let retry_after = retry_after(router, refused.kind);
+    let refusal = Refusal {
+        kind: refused.kind,
+        retry_after,
+    };
+    router.protocol.refuse(&refusal, id).map(AnswerBody::whole)
+}
+
+/// When a caller may come back whose request was refused early.
+fn retry_after(router: &Router, kind: RefusalKind) -> Option<Duration> {
+    match kind {
+        RefusalKind::NotReady if router.store_lost.get() => Some(OUTAGE_RETRY_AFTER),
+        RefusalKind::NotReady => Some(NOT_READY_RETRY_AFTER),
+        RefusalKind::Stopping if router.peers.borrow().any_serving() => Some(RETRY_AFTER),
+        RefusalKind::Stopping => Some(RETURN_TIME),
+        _ => None,
+    }
+}
+
+async fn admit(
+    router: &Rc<Router>,
+    started: Instant,
+    head: request::Parts,
+    body: Incoming,
+    caller: CallerRequest,
+) -> Result<Box<Exchange>, RefusedEarly> {
+    let known = router.configuration.borrow().clone();
+    let version = known.as_ref().map_or(0, |known| known.version);
+    let id = caller.id.clone();
+    let refused = |kind| RefusedEarly {
+        kind,
+        id: id.clone(),
+        version,
+    };
+    if *router.phase.borrow() == Phase::Draining {
+        return Err(refused(RefusalKind::Stopping));
+    }
+    let configuration = known.ok_or_else(|| refused(RefusalKind::NotReady))?;
+    let route = find_route(&configuration, &head).ok_or_else(|| refused(RefusalKind::NoRoute))?;
+    let tenant = find_tenant(&configuration, &route, &caller)
+        .map_err(|()| refused(RefusalKind::UnknownKey))?;
+    let id_text = id.clone().ok_or_else(|| refused(RefusalKind::Malformed))?;
+    let patience = caller
+        .patience
+        .map_or(route.timeout, |time| time.min(route.timeout));
+    let limit = started + patience;
+    let limited = Limited::new(body, configuration.limits.body_bytes);
+    let body = match timeout_at(limit.into(), limited.collect()).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            return Err(refused(RefusalKind::BodyTooLarge))
+        }
+        Ok(Err(_)) => return Err(refused(RefusalKind::Malformed)),
+        Err(_) => return Err(refused(RefusalKind::BodyTimeout)),
+    };
+    let target = route.draw_target(rand::rng().next_u32());
+    router.count_request(&route.targets[target].back_ends);
+    router.exchanges.set(router.exchanges.get() + 1);
+    Ok(Box::new(Exchange {
+        router: router.clone(),
+        route,
+        target,
+        id: id_text,
+        tenant,
+        head,
+        body,
+        caller,
+        version,
+        started,
+        limit,
+        ledger: AttemptLedger::default(),
+        in_doubt: false,
+        tried: Vec::new(),
+        outcome: Outcome::Open,
+    }))
+}
+
+fn find_route(configuration: &TrafficConfiguration, head: &request::Parts) -> Option<Arc<Route>> {
+    let host = head
+        .headers
+        .get(hyper::header::HOST)
+        .and_then(|host| host.to_str().ok())
+        .or_else(|| head.uri.host())?;
+    configuration.routes.find(host, head.uri.path()).cloned()
+}
+
+fn find_tenant(
+    configuration: &TrafficConfiguration,
+    route: &Route,
+    caller: &CallerRequest,
+) -> Result<Option<Arc<Tenant>>, ()> {
+    let Some(keys) = &configuration.keys else {
+        return Ok(None);
+    };
+    let tenant = caller.key.as_deref().and_then(|key| keys.tenant(key));
+    if tenant.is_none() && !route.public {
+        return Err(());
+    }
+    Ok(tenant.cloned())
+}
--- /dev/null
+++ b/crates/stacktack-direct/src/choice.rs
@@ -0,0 +1,81 @@
+//! The choice for one attempt, and where prompt parts are.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::Rng;
+use stacktack_core::configuration::selector::matches_all;
+use stacktack_core::direct::back_end::Standing;
+use stacktack_core::direct::peers::ShortId;
+use stacktack_core::direct::select::{
+    likely_holder, select_by_affinity, select_by_load, SelectBounds, Selection,
+};
+
+use crate::exchange::Exchange;
+
+/// Shared prompt tokens from which copying beats reading again.
+const FETCH_TOKENS: u32 = 256;
+
+/// Age at which the place of a prompt part is told to peers again.
+const TELL_AGAIN: Duration = Duration::from_secs(8);
+
+impl Exchange {
+    /// Chooses a back end that was not tried; `None` when there is none.
+    pub(crate) fn select(&self) -> Option<(Selection, String, Standing)> {
+        let (candidates, ids) = self.router.candidates(self.pool(), &self.tried);
+        let bounds = SelectBounds::default();
+        let selection = match self.caller.prompt.affinity_part() {
+            Some(part) => select_by_affinity(&candidates, part.id, &bounds),
+            None => select_by_load(&candidates, rand::rng().next_u64(), &bounds),
+        }?;
+        let standing = candidates[selection.index].standing;
+        Some((selection, ids[selection.index].clone(), standing))
+    }
+
+    /// Another back end that keeps, or is likely to keep, the shared parts of
+    /// the prompt; `None` when the chosen one is known to keep them.
+    pub(crate) fn fetch_source(&self, back_end: &str) -> Option<SocketAddr> {
+        let part = self.caller.prompt.affinity_part()?;
+        if self.caller.prompt.shared_tokens() < FETCH_TOKENS {
+            return None;
+        }
+        let places = self.router.places.borrow();
+        let holders = places.holders(part.id);
+        if holders.iter().any(|holder| holder.back_end == back_end) {
+            return None;
+        }
+        let back_ends = self.router.back_ends.borrow();
+        let known = holders
+            .iter()
+            .find_map(|holder| back_ends.get(&holder.back_end));
+        if let Some(holder) = known {
+            return Some(holder.entry.address);
+        }
+        let pool = back_ends
+            .iter()
+            .filter(|member| matches_all(self.pool(), &member.entry.labels));
+        likely_holder(pool, part.id, back_end).map(|holder| holder.entry.address)
+    }
+
+    /// Remembers where the prompt was read, and tells peers of a new place.
+    pub(crate) fn record_place(&self, back_end: &str) {
+        let Some(part) = self.caller.prompt.affinity_part() else {
+            return;
+        };
+        let now = self.router.now();
+        let mut places = self.router.places.borrow_mut();
+        let told = places
+            .holders(part.id)
+            .iter()
+            .any(|holder| holder.back_end == back_end && now.since(holder.used) < TELL_AGAIN);
+        places.record(part.id, back_end, now);
+        if told {
+            return;
+        }
+        if let Some(known) = self.router.back_ends.borrow().get(back_end) {
+            let short = ShortId::of(known.id_hash);
+            let mut peers = self.router.peers.borrow_mut();
+            peers.announce_place(part.id, short);
+        }
+    }
+}
--- a/crates/stacktack-direct/src/exchange.rs
+++ b/crates/stacktack-direct/src/exchange.rs
@@ -10,22 +10,17 @@
 use hyper::body::Incoming;
 use hyper::http::request;
 use hyper::{Request, Response, StatusCode};
-use rand::Rng;
-use stacktack_core::configuration::selector::{matches_all, Requirement};
+use stacktack_core::configuration::selector::Requirement;
 use stacktack_core::direct::attempt::{AttemptFailure, AttemptLedger};
-use stacktack_core::direct::back_end::Standing;
-use stacktack_core::direct::peers::ShortId;
-use stacktack_core::direct::route::{Route, Target, Tenant, TrafficConfiguration};
-use stacktack_core::direct::select::{
-    likely_holder, select_by_affinity, select_by_load, SelectBounds, Selection,
-};
+use stacktack_core::direct::route::{Route, Tenant};
 use tokio::time::{timeout, timeout_at};
 
+use crate::admission::RETRY_AFTER;
 use crate::answer::{AnswerBody, StreamAnswer};
 use crate::attempt::{Attempt, AttemptEnd, StoredAnswer};
 use crate::client::{ClientConnection, ConnectError, SendError};
 use crate::ports::{CallerRequest, ForwardOrder, Refusal, RefusalKind};
-use crate::router::{Phase, Router};
+use crate::router::Router;
 
 /// Longest time for a connection to a back end to come up.
 const CONNECT_LIMIT: Duration = Duration::from_millis(150);
@@ -40,25 +35,6 @@
 /// Largest whole answer that is held before it is passed on, in bytes.
 const HELD_ANSWER: usize = 1024 * 1024;
 
-/// Shared prompt tokens from which copying beats reading again.
-const FETCH_TOKENS: u32 = 256;
-
-/// Age at which the place of a prompt part is told to peers again.
-const TELL_AGAIN: Duration = Duration::from_secs(8);
-
-/// Time after which a caller may come back when nobody could take its request.
-const RETRY_AFTER: Duration = Duration::from_millis(150);
-
-/// Time after which a caller may come back while nothing is known yet.
-const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(300);
-
-/// Time after which a caller may come back while the store does not answer and
-/// nothing is known: outages last seconds.
-const OUTAGE_RETRY_AFTER: Duration = Duration::from_millis(2500);
-
-/// Time in which a stopped router is back, as a rule.
-const RETURN_TIME: Duration = Duration::from_millis(900);
-
 /// How a request ended, for its log line and metrics.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -87,19 +63,19 @@
 pub struct Exchange {
     pub(crate) router: Rc<Router>,
     pub(crate) route: Arc<Route>,
-    target: usize,
+    pub(crate) target: usize,
     pub(crate) id: String,
-    tenant: Option<Arc<Tenant>>,
-    head: request::Parts,
-    body: Bytes,
-    caller: CallerRequest,
-    version: u64,
-    started: Instant,
+    pub(crate) tenant: Option<Arc<Tenant>>,
+    pub(crate) head: request::Parts,
+    pub(crate) body: Bytes,
+    pub(crate) caller: CallerRequest,
+    pub(crate) version: u64,
+    pub(crate) started: Instant,
     pub(crate) limit: Instant,
     pub(crate) ledger: AttemptLedger,
     /// Whether an attempt is under way that may run.
-    in_doubt: bool,
-    tried: Vec<String>,
+    pub(crate) in_doubt: bool,
+    pub(crate) tried: Vec<String>,
     pub(crate) outcome: Outcome,
 }
 
@@ -131,154 +107,14 @@
     }
 }
 
-/// Answers one request.
-pub async fn answer(router: Rc<Router>, request: Request<Incoming>) -> Response<AnswerBody> {
-    let started = Instant::now();
-    let (head, body) = request.into_parts();
-    let caller = router.protocol.read_request(&head);
-    match admit(&router, started, head, body, caller).await {
-        Ok(exchange) => exchange.run().await,
-        Err(refused) => refuse_early(&router, refused),
-    }
-}
-
-/// A request that was refused before it became an exchange.
-struct RefusedEarly {
-    kind: RefusalKind,
-    id: Option<String>,
-    version: u64,
-}
-
-fn refuse_early(router: &Router, refused: RefusedEarly) -> Response<AnswerBody> {
-    let id = refused.id.as_deref();
-    log::info!(
-        target: "request",
-        "id={} config={} outcome={}",
-        id.unwrap_or("-"),
-        refused.version,
-        refused.kind.word(),
-    );
-    router.metrics.count_request(refused.kind.word(), 0.0);
-    let retry_after = match refused.kind {
-        RefusalKind::NotReady if router.store_lost.get() => Some(OUTAGE_RETRY_AFTER),
-        RefusalKind::NotReady => Some(NOT_READY_RETRY_AFTER),
-        RefusalKind::Stopping if router.peers.borrow().any_serving() => Some(RETRY_AFTER),
-        RefusalKind::Stopping => Some(RETURN_TIME),
-        _ => None,
-    };
-    let refusal = Refusal {
-        kind: refused.kind,
-        retry_after,
-    };
-    router.protocol.refuse(&refusal, id).map(AnswerBody::whole)
-}
-
-async fn admit(
-    router: &Rc<Router>,
-    started: Instant,
-    head: request::Parts,
-    body: Incoming,
-    caller: CallerRequest,
-) -> Result<Box<Exchange>, RefusedEarly> {
-    let known = router.configuration.borrow().clone();
-    let version = known.as_ref().map_or(0, |known| known.version);
-    let id = caller.id.clone();
-    let refused = |kind| RefusedEarly {
-        kind,
-        id: id.clone(),
-        version,
-    };
-    if *router.phase.borrow() == Phase::Draining {
-        return Err(refused(RefusalKind::Stopping));
-    }
-    let configuration = known.ok_or_else(|| refused(RefusalKind::NotReady))?;
-    let route = find_route(&configuration, &head).ok_or_else(|| refused(RefusalKind::NoRoute))?;
-    let tenant = find_tenant(&configuration, &route, &caller)
-        .map_err(|()| refused(RefusalKind::UnknownKey))?;
-    let id_text = id.clone().ok_or_else(|| refused(RefusalKind::Malformed))?;
-    let patience = caller
-        .patience
-        .map_or(route.timeout, |time| time.min(route.timeout));
-    let limit = started + patience;
-    let limited = Limited::new(body, configuration.limits.body_bytes);
-    let body = match timeout_at(limit.into(), limited.collect()).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            return Err(refused(RefusalKind::BodyTooLarge))
-        }
-        Ok(Err(_)) => return Err(refused(RefusalKind::Malformed)),
-        Err(_) => return Err(refused(RefusalKind::BodyTimeout)),
-    };
-    let target = draw_target(&route.targets, rand::rng().next_u32());
-    router.count_request(&route.targets[target].back_ends);
-    router.exchanges.set(router.exchanges.get() + 1);
-    Ok(Box::new(Exchange {
-        router: router.clone(),
-        route,
-        target,
-        id: id_text,
-        tenant,
-        head,
-        body,
-        caller,
-        version,
-        started,
-        limit,
-        ledger: AttemptLedger::default(),
-        in_doubt: false,
-        tried: Vec::new(),
-        outcome: Outcome::Open,
-    }))
-}
-
-fn find_route(configuration: &TrafficConfiguration, head: &request::Parts) -> Option<Arc<Route>> {
-    let host = head
-        .headers
-        .get(hyper::header::HOST)
-        .and_then(|host| host.to_str().ok())
-        .or_else(|| head.uri.host())?;
-    configuration.routes.find(host, head.uri.path()).cloned()
-}
-
-fn find_tenant(
-    configuration: &TrafficConfiguration,
-    route: &Route,
-    caller: &CallerRequest,
-) -> Result<Option<Arc<Tenant>>, ()> {
-    let Some(keys) = &configuration.keys else {
-        return Ok(None);
-    };
-    let tenant = caller.key.as_deref().and_then(|key| keys.tenant(key));
-    if tenant.is_none() && !route.public {
-        return Err(());
-    }
-    Ok(tenant.cloned())
-}
-
-/// Draws a target by weight.
-fn draw_target(targets: &[Target], draw: u32) -> usize {
-    let sum: u64 = targets.iter().map(|target| u64::from(target.weight)).sum();
-    if sum == 0 {
-        return 0;
-    }
-    let mut left = u64::from(draw) % sum;
-    for (index, target) in targets.iter().enumerate() {
-        let weight = u64::from(target.weight);
-        if left < weight {
-            return index;
-        }
-        left -= weight;
-    }
-    0
-}
-
 impl Exchange {
-    fn pool(&self) -> &[Requirement] {
+    /// Conditions on the back ends that may serve the request.
+    pub(crate) fn pool(&self) -> &[Requirement] {
         &self.route.targets[self.target].back_ends
     }
 
     /// Sends the request until an answer can go to the caller.
-    async fn run(mut self: Box<Self>) -> Response<AnswerBody> {
+    pub(crate) async fn run(mut self: Box<Self>) -> Response<AnswerBody> {
         let limit = self.limit;
         match timeout_at(limit.into(), self.attempts()).await {
             Ok(Ok((response, attempt))) => self.pass_on(response, attempt),
@@ -412,42 +248,6 @@
         }
     }
 
-    fn select(&self) -> Option<(Selection, String, Standing)> {
-        let (candidates, ids) = self.router.candidates(self.pool(), &self.tried);
-        let bounds = SelectBounds::default();
-        let selection = match self.caller.prompt.affinity_part() {
-            Some(part) => select_by_affinity(&candidates, part.id, &bounds),
-            None => select_by_load(&candidates, rand::rng().next_u64(), &bounds),
-        }?;
-        let standing = candidates[selection.index].standing;
-        Some((selection, ids[selection.index].clone(), standing))
-    }
-
-    /// Another back end that keeps, or is likely to keep, the shared parts of
-    /// the prompt; `None` when the chosen one is known to keep them.
-    fn fetch_source(&self, back_end: &str) -> Option<SocketAddr> {
-        let part = self.caller.prompt.affinity_part()?;
-        if self.caller.prompt.shared_tokens() < FETCH_TOKENS {
-            return None;
-        }
-        let places = self.router.places.borrow();
-        let holders = places.holders(part.id);
-        if holders.iter().any(|holder| holder.back_end == back_end) {
-            return None;
-        }
-        let back_ends = self.router.back_ends.borrow();
-        let known = holders
-            .iter()
-            .find_map(|holder| back_ends.get(&holder.back_end));
-        if let Some(holder) = known {
-            return Some(holder.entry.address);
-        }
-        let pool = back_ends
-            .iter()
-            .filter(|member| matches_all(self.pool(), &member.entry.labels));
-        likely_holder(pool, part.id, back_end).map(|holder| holder.entry.address)
-    }
-
     /// Opens or takes a connection, sends, waits for the head.
     async fn exchange_head(
         &mut self,
@@ -583,28 +383,6 @@
         AttemptEnd::Answer(Response::from_parts(head, body), attempt)
     }
 
-    /// Remembers where the prompt was read, and tells peers of a new place.
-    fn record_place(&self, back_end: &str) {
-        let Some(part) = self.caller.prompt.affinity_part() else {
-            return;
-        };
-        let now = self.router.now();
-        let mut places = self.router.places.borrow_mut();
-        let told = places
-            .holders(part.id)
-            .iter()
-            .any(|holder| holder.back_end == back_end && now.since(holder.used) < TELL_AGAIN);
-        places.record(part.id, back_end, now);
-        if told {
-            return;
-        }
-        if let Some(known) = self.router.back_ends.borrow().get(back_end) {
-            let short = ShortId::of(known.id_hash);
-            let mut peers = self.router.peers.borrow_mut();
-            peers.announce_place(part.id, short);
-        }
-    }
-
     fn pass_on(
         mut self: Box<Self>,
         response: Response<AnswerSource>,
--- a/crates/stacktack-direct/src/lib.rs
+++ b/crates/stacktack-direct/src/lib.rs
@@ -8,13 +8,16 @@
 //!
 //! - [`ports`]: what an adapter supplies.
 //! - [`app`]: start, signals, stop.
-//! - `server`: callers' connections. `exchange`: one request from head to end.
+//! - `server`: callers' connections. `admission`, `exchange`, `choice`,
+//!   `attempt`: one request from head to end.
 //!   `answer`: bodies on their way to callers. `connection`: back-end connections.
 //! - `followers`: configuration and directory. `news`: what routers tell each other. `router`: state of the process.
 
+mod admission;
 mod answer;
 pub mod app;
 mod attempt;
+mod choice;
 pub mod client;
 mod connection;
 mod exchange;
--- a/crates/stacktack-direct/src/server.rs
+++ b/crates/stacktack-direct/src/server.rs
@@ -17,7 +17,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time::sleep;
 
-use crate::exchange;
+use crate::admission;
 use crate::router::{Phase, Router};
 
 /// Connections that may wait to be accepted.
@@ -126,7 +126,7 @@
             let activity = activity.clone();
             activity.set(true);
             async move {
-                let mut response = exchange::answer(router.clone(), request).await;
+                let mut response = admission::answer(router.clone(), request).await;
                 if *router.phase.borrow() != Phase::Serving {
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(CONNECTION, close);
