Bound calls to the store where they are decided, shorter while nothing is known

Change: the followers bound each call, 0.5 s while nothing is known; platform/ keeps no timer; with peers whose store answers a refused router asks every 1.5 s.

--- a/crates/stacktack-direct/src/client.rs
+++ b/crates/stacktack-direct/src/client.rs
@@ -74,6 +74,11 @@
 }
 
 impl ClientConnection {
+    /// Connects; whoever calls bounds the time.
+    pub async fn connect(address: SocketAddr) -> Result<Self, ConnectError> {
+        Self::over(TcpStream::connect(address).await?).await
+    }
+
     /// Connects within a time limit.
     pub async fn open(address: SocketAddr, limit: Duration) -> Result<Self, ConnectError> {
         let stream = connect(address, limit).await?;
@@ -148,12 +153,17 @@
     request: Request<Full<Bytes>>,
     limit: Duration,
 ) -> Result<Response<Bytes>, SendError> {
-    let exchange = async {
-        let (head, body) = connection.send(request).await?.into_parts();
-        let body = body.collect().await.map_err(SendError::Broken)?;
-        Ok(Response::from_parts(head, body.to_bytes()))
-    };
-    timeout(limit, exchange)
+    timeout(limit, unbounded_answer(connection, request))
         .await
         .unwrap_or(Err(SendError::Silent))
 }
+
+/// Sends a request and reads its whole answer; whoever calls bounds the time.
+pub async fn unbounded_answer(
+    connection: &mut ClientConnection,
+    request: Request<Full<Bytes>>,
+) -> Result<Response<Bytes>, SendError> {
+    let (head, body) = connection.send(request).await?.into_parts();
+    let body = body.collect().await.map_err(SendError::Broken)?;
+    Ok(Response::from_parts(head, body.to_bytes()))
+}
--- a/crates/stacktack-direct/src/followers.rs
+++ b/crates/stacktack-direct/src/followers.rs
@@ -20,7 +20,11 @@
 const CONFIGURATION_WAIT: Duration = Duration::from_secs(20);
 
 /// Time beyond the wait after which a call counts as lost.
-const CALL_SLACK: Duration = Duration::from_secs(2);
+const CALL_SLACK: Duration = Duration::from_millis(1200);
+
+/// The same while nothing is known: each call may be the one that falls into the
+/// last moment of an outage.
+const FIRST_CALL_SLACK: Duration = Duration::from_millis(500);
 
 /// Wait for news of the directory in one call, for each router that shares the
 /// watch: a call without an answer is how a lost store is noticed, and whoever
@@ -36,6 +40,17 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_millis(400);
 
+/// Pause while peers have what the store does not tell this router.
+const INFORMED_PAUSE: Duration = Duration::from_millis(1500);
+
+fn call_slack(something_known: bool) -> Duration {
+    if something_known {
+        CALL_SLACK
+    } else {
+        FIRST_CALL_SLACK
+    }
+}
+
 /// Whether a dependency answers; tells when it comes back.
 pub struct Dependency {
     name: &'static str,
@@ -97,10 +112,16 @@
         self.0 = FIRST_PAUSE;
     }
 
-    async fn take(&mut self) {
+    async fn take(&mut self, router: &Router) {
         let spread = rand::rng().random_range(0.5..=1.0);
         sleep(self.0.mul_f64(spread)).await;
-        self.0 = (self.0 * 2).min(LONGEST_PAUSE);
+        let informed = router.version() > 0 && router.peers.borrow().any_settled();
+        let longest = if informed {
+            INFORMED_PAUSE
+        } else {
+            LONGEST_PAUSE
+        };
+        self.0 = (self.0 * 2).min(longest);
     }
 }
 
@@ -113,8 +134,9 @@
     let mut after = None;
     let mut pause = Pause::new();
     loop {
+        let wait_there = after.map_or(Duration::ZERO, |_| CONFIGURATION_WAIT);
         let call = timeout(
-            CONFIGURATION_WAIT + CALL_SLACK,
+            wait_there + call_slack(router.version() > 0),
             source.configuration(after, CONFIGURATION_WAIT),
         );
         let result = tokio::select! {
@@ -139,7 +161,7 @@
             Err(SourceError::HistoryGone) => after = None,
             Err(error) => {
                 log::debug!(target: "configuration", "call failed: {error}");
-                pause.take().await;
+                pause.take(&router).await;
             }
         }
     }
@@ -160,7 +182,9 @@
     loop {
         let sharing = follower.router.peers.borrow().sharing();
         let wait = directory_wait(sharing);
-        let call = timeout(wait + CALL_SLACK, directory.back_ends(after, wait));
+        let slack = call_slack(after.is_some());
+        let wait_there = after.map_or(Duration::ZERO, |_| wait);
+        let call = timeout(wait_there + slack, directory.back_ends(after, wait));
         let result = call.await.unwrap_or(Err(SourceError::Silent));
         let now = follower.router.now();
         match result {
@@ -179,7 +203,7 @@
             Err(error) => {
                 store.on_failure(now, error);
                 follower.router.store_lost.set(true);
-                pause.take().await;
+                pause.take(&follower.router).await;
             }
         }
     }
