--- a/crates/stacktack-core/src/direct/select.rs
+++ b/crates/stacktack-core/src/direct/select.rs
@@ -19,8 +19,6 @@
     pub id_hash: u64,
     /// Requests in flight there, from all routers as far as known.
     pub load: f64,
-    /// Requests that it runs at once.
-    pub slots: f64,
     /// Whether it stands in the router's zone.
     pub same_zone: bool,
     /// What the router holds of it.
@@ -38,10 +36,18 @@
     pub zone_slack: f64,
 }
 
-impl Default for SelectBounds {
-    fn default() -> Self {
+/// Share of the load cap at which a candidate is passed by: what is known of
+/// loads is up to half a second old.
+const SPILL_SHARE_OF_CAP: f64 = 0.75;
+
+/// Least multiple of the mean at which a candidate is passed by.
+const LEAST_SPILL_FACTOR: f64 = 1.1;
+
+impl SelectBounds {
+    /// Bounds that keep loads below `load_cap` times the mean.
+    pub fn below(load_cap: f64) -> Self {
         SelectBounds {
-            spill_factor: 1.5,
+            spill_factor: (load_cap * SPILL_SHARE_OF_CAP).max(LEAST_SPILL_FACTOR),
             spill_slack: 2.0,
             zone_slack: 1.5,
         }
--- a/crates/stacktack-core/tests/direct.rs
+++ b/crates/stacktack-core/tests/direct.rs
@@ -247,7 +247,6 @@
         index,
         id_hash: 1000 + index as u64,
         load,
-        slots: 64.0,
         same_zone: true,
         standing: Standing::Good,
     }
@@ -255,7 +254,7 @@
 
 #[test]
 fn routers_agree_on_the_home_of_a_part_whatever_their_order() {
-    let bounds = SelectBounds::default();
+    let bounds = SelectBounds::below(2.0);
     let candidates: Vec<_> = (0..8).map(|index| candidate(index, 1.0)).collect();
     let mut turned = candidates.clone();
     turned.reverse();
@@ -269,7 +268,7 @@
 
 #[test]
 fn a_loaded_home_is_passed_by_and_a_bad_standing_too() {
-    let bounds = SelectBounds::default();
+    let bounds = SelectBounds::below(2.0);
     let mut candidates: Vec<_> = (0..8).map(|index| candidate(index, 1.0)).collect();
     let home = select_by_affinity(&candidates, 5, &bounds)
         .expect("chosen")
@@ -291,7 +290,7 @@
 
 #[test]
 fn the_own_zone_is_used_until_another_is_clearly_freer() {
-    let bounds = SelectBounds::default();
+    let bounds = SelectBounds::below(2.0);
     let mut candidates = vec![candidate(0, 2.0), candidate(1, 1.0)];
     candidates[1].same_zone = false;
     let chosen = |candidates: &[DirectCandidate]| {
@@ -388,7 +387,7 @@
 
 #[test]
 fn the_former_home_of_a_part_is_its_likely_holder() {
-    let bounds = SelectBounds::default();
+    let bounds = SelectBounds::below(2.0);
     let ids = ["a", "b", "c", "d", "e"];
     let before = back_ends(&ids[..4]);
     let after = back_ends(&ids);
@@ -460,3 +459,11 @@
     split.targets = vec![target(0)];
     assert_eq!(split.draw_target(7), 0);
 }
+
+#[test]
+fn the_spill_bound_follows_the_load_cap() {
+    let factor = |cap| SelectBounds::below(cap).spill_factor;
+    assert!((factor(2.0) - 1.5).abs() < 1e-9);
+    assert!(factor(1.6) < 1.6);
+    assert!(factor(1.0) > 1.0, "somebody has to take the work");
+}
--- a/crates/stacktack-direct/src/choice.rs
+++ b/crates/stacktack-direct/src/choice.rs
@@ -23,7 +23,7 @@
     /// Chooses a back end that was not tried; `None` when there is none.
     pub(crate) fn select(&self) -> Option<(Selection, String, Standing)> {
         let (candidates, ids) = self.router.candidates(self.pool(), &self.tried);
-        let bounds = SelectBounds::default();
+        let bounds = SelectBounds::below(self.router.bounds().load_cap);
         let selection = match self.caller.prompt.affinity_part() {
             Some(part) => select_by_affinity(&candidates, part.id, &bounds),
             None => select_by_load(&candidates, rand::rng().next_u64(), &bounds),
--- a/crates/stacktack-direct/src/router.rs
+++ b/crates/stacktack-direct/src/router.rs
@@ -223,7 +223,6 @@
                 index,
                 id_hash: member.id_hash,
                 load: member.load(now),
-                slots: f64::from(member.entry.slots),
                 same_zone: zone == Some(&self.settings.zone),
                 standing,
             });
--- a/crates/stacktack-node/src/logging.rs
+++ b/crates/stacktack-node/src/logging.rs
@@ -10,8 +10,13 @@
 /// A line is `time level prefix: sentence`; the prefix is the record's target,
 /// fixed for each part of the system.
 pub fn start() {
+    start_to(env_logger::Target::Stderr);
+}
+
+fn start_to(target: env_logger::Target) {
     let environment = env_logger::Env::default().default_filter_or("info");
     let result = env_logger::Builder::from_env(environment)
+        .target(target)
         .format(|buffer, record| {
             let time = buffer.timestamp_millis();
             let level = record.level();
@@ -118,26 +123,8 @@
 /// up a request; lines beyond the bound are left out and counted.
 pub fn start_structured() -> StructuredLog {
     let queue = Arc::new(Queue::default());
-    let environment = env_logger::Env::default().default_filter_or("info");
-    let result = env_logger::Builder::from_env(environment)
-        .target(env_logger::Target::Pipe(Box::new(QueueWriter(
-            queue.clone(),
-        ))))
-        .write_style(env_logger::WriteStyle::Never)
-        .format(|buffer, record| {
-            let time = buffer.timestamp_millis();
-            let level = record.level();
-            writeln!(
-                buffer,
-                "{time} {level} {}: {}",
-                record.target(),
-                record.args()
-            )
-        })
-        .try_init();
-    if result.is_err() {
-        log::debug!(target: "log", "logging was started before");
-    }
+    let writer = Box::new(QueueWriter(queue.clone()));
+    start_to(env_logger::Target::Pipe(writer));
     let writer = queue.clone();
     std::thread::spawn(move || loop {
         writer.write_some();
