Pass on answers over 1 MiB as they come; part the sending of a request

Cause, found by reading: a whole answer over 1 MiB was held up to the limit and then counted as broken, so that a caller got 502 for a run that had gone well. Such an answer is passed on from the limit on, like a stream.

--- a/crates/stacktack-direct/src/answer.rs
+++ b/crates/stacktack-direct/src/answer.rs
@@ -1,4 +1,4 @@
-//! Bodies on their way to callers.
+//! Bodies on their way to callers: whole ones, and those still coming.
 
 use std::future::Future;
 use std::pin::Pin;
@@ -101,6 +101,8 @@
 /// A stream on its way to a caller.
 pub struct StreamAnswer {
     source: Source,
+    /// Bytes that came before the stream began; empty once they are taken.
+    begun: Bytes,
     /// Cuts resumable streams into whole events.
     splitter: Option<EventSplitter>,
     status: u16,
@@ -117,7 +119,13 @@
 
 impl StreamAnswer {
     /// A stream whose head is there.
-    pub fn new(exchange: Box<Exchange>, incoming: Incoming, attempt: Attempt, status: u16) -> Self {
+    pub fn new(
+        exchange: Box<Exchange>,
+        begun: Bytes,
+        incoming: Incoming,
+        attempt: Attempt,
+        status: u16,
+    ) -> Self {
         let resumable = exchange.route.kind == RouteKind::ResumableStream;
         let limit = Box::pin(sleep_until(exchange.limit.into()));
         StreamAnswer {
@@ -126,6 +134,7 @@
                 incoming,
                 attempt,
             },
+            begun,
             splitter: resumable.then(EventSplitter::default),
             status,
             limit,
@@ -193,6 +202,9 @@
     }
 
     fn poll_step(&mut self, context: &mut Context<'_>) -> Poll<Step> {
+        if !self.begun.is_empty() {
+            return Poll::Ready(Step::Data(std::mem::take(&mut self.begun)));
+        }
         let Source::Sending {
             incoming, attempt, ..
         } = &mut self.source
--- a/crates/stacktack-direct/src/lib.rs
+++ b/crates/stacktack-direct/src/lib.rs
@@ -8,10 +8,11 @@
 //!
 //! - [`ports`]: what an adapter supplies.
 //! - [`app`]: start, signals, stop.
-//! - `server`: callers' connections. `admission`, `exchange`, `choice`,
-//!   `attempt`: one request from head to end.
-//!   `answer`: bodies on their way to callers. `connection`: back-end connections.
-//! - `followers`: configuration and directory. `news`: what routers tell each other. `router`: state of the process.
+//! - `server`: callers' connections. `connection`: back-end connections.
+//! - `admission`, `exchange`, `sending`, `choice`, `attempt`: one request from
+//!   head to end. `held`, `answer`: answers on their way to callers.
+//! - [`followers`]: configuration and directory. `news`: what routers tell each
+//!   other. [`router`]: state of the process.
 
 mod admission;
 mod answer;
@@ -22,9 +23,11 @@
 mod connection;
 mod exchange;
 pub mod followers;
+mod held;
 pub mod metrics;
 mod news;
 pub mod ports;
 pub mod router;
+mod sending;
 mod server;
 pub mod settings;
--- /dev/null
+++ b/crates/stacktack-direct/src/sending.rs
@@ -0,0 +1,216 @@
+//! One attempt of a request: choice, connection, request, head of the answer.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use stacktack_core::direct::attempt::{AttemptFailure, AttemptLedger};
+use tokio::time::timeout;
+
+use crate::attempt::{Attempt, AttemptEnd, StoredAnswer};
+use crate::client::{ClientConnection, ConnectError, SendError};
+use crate::exchange::Exchange;
+use crate::ports::ForwardOrder;
+
+/// Longest time for a connection to a back end to come up.
+const CONNECT_LIMIT: Duration = Duration::from_millis(150);
+
+/// Time in which an overloaded back end turns a new connection away.
+const TURN_AWAY: Duration = Duration::from_millis(3);
+
+/// Objectives after which an attempt without an answer is given up, where the
+/// request may be repeated.
+const SILENCE_OBJECTIVES: u32 = 2;
+
+/// Largest body of a failed answer that is kept, in bytes.
+const STORED_ANSWER: usize = 1024 * 1024;
+
+impl Exchange {
+    /// One attempt: choice, connection, request, head of the answer.
+    pub(crate) async fn attempt(&mut self, resume_after: Option<&str>) -> AttemptEnd {
+        let Some((selection, back_end, standing)) = self.select() else {
+            return AttemptEnd::NoBackEnd;
+        };
+        let fetch_from = self.fetch_source(&back_end);
+        self.tried.push(back_end.clone());
+        let Some(mut attempt) = Attempt::begin(self.router.clone(), &back_end) else {
+            return AttemptEnd::Failure(AttemptFailure::Unreached, None);
+        };
+        log::info!(
+            target: "choice",
+            "id={} part={:x} tokens={} back_end={} load={:.1} mean={:.1} rank={} standing={} fetch={} config={} directory={} peers={}",
+            self.id,
+            self.caller.prompt.affinity_part().map_or(0, |part| part.id),
+            self.caller.prompt.shared_tokens(),
+            back_end,
+            selection.load,
+            selection.mean,
+            selection.rank,
+            standing.word(),
+            fetch_from.map_or_else(|| "-".to_owned(), |holder| holder.to_string()),
+            self.version,
+            self.router.directory_changed.get(),
+            self.router.peers.borrow().alive(),
+        );
+        let end = self
+            .exchange_head(&mut attempt, resume_after, fetch_from)
+            .await;
+        match end {
+            Ok(response) => self.classify(response, attempt).await,
+            Err(failure) => {
+                if failure == AttemptFailure::Broken {
+                    attempt.on_failure();
+                } else {
+                    attempt.on_unreachable();
+                }
+                AttemptEnd::Failure(failure, None)
+            }
+        }
+    }
+
+    /// Opens or takes a connection, sends, waits for the head.
+    async fn exchange_head(
+        &mut self,
+        attempt: &mut Attempt,
+        resume_after: Option<&str>,
+        fetch_from: Option<SocketAddr>,
+    ) -> Result<Response<Incoming>, AttemptFailure> {
+        let address = attempt.address;
+        let may_rest = self.route.kind.is_idempotent();
+        let mut resting = if may_rest {
+            let mut connections = self.router.connections.borrow_mut();
+            connections.take(address, Instant::now())
+        } else {
+            None
+        };
+        let patience = self.attempt_patience();
+        loop {
+            let (mut connection, rested) = match resting.take() {
+                Some(connection) => (connection, true),
+                None => match self.open_connection(address).await {
+                    Ok(connection) => (connection, false),
+                    Err(_) => return Err(AttemptFailure::Unreached),
+                },
+            };
+            let request = self.back_end_request(attempt, resume_after, fetch_from);
+            self.in_doubt = true;
+            attempt.on_write();
+            let sent = timeout(patience, connection.send(request)).await;
+            match sent {
+                Ok(Ok(response)) => {
+                    attempt.connection = Some(connection);
+                    return Ok(response);
+                }
+                Ok(Err(SendError::NotWritten)) => {
+                    self.in_doubt = false;
+                    if !rested {
+                        return Err(AttemptFailure::Unreached);
+                    }
+                }
+                Ok(Err(SendError::Broken(_))) => return Err(AttemptFailure::Broken),
+                Ok(Err(SendError::Silent)) | Err(_) => return Err(AttemptFailure::Silent),
+            }
+        }
+    }
+
+    /// What may run once waits a moment for the connection to be turned away.
+    async fn open_connection(&self, address: SocketAddr) -> Result<ClientConnection, ConnectError> {
+        if self.route.kind.is_idempotent() {
+            ClientConnection::open(address, CONNECT_LIMIT).await
+        } else {
+            ClientConnection::open_accepted(address, CONNECT_LIMIT, TURN_AWAY).await
+        }
+    }
+
+    /// Time that an attempt is given for the head of its answer.
+    fn attempt_patience(&self) -> Duration {
+        let remaining = self.limit.saturating_duration_since(Instant::now());
+        let next = AttemptLedger {
+            sends: self.ledger.sends + 1,
+            may_have_run: true,
+            ..self.ledger
+        };
+        if next.may_send_again(self.route.kind, self.route.max_attempts) {
+            remaining.min(self.route.objective * SILENCE_OBJECTIVES)
+        } else {
+            remaining
+        }
+    }
+
+    fn back_end_request(
+        &self,
+        attempt: &Attempt,
+        resume_after: Option<&str>,
+        fetch_from: Option<SocketAddr>,
+    ) -> Request<Full<Bytes>> {
+        let tenant = self.tenant.as_deref();
+        let priority = tenant
+            .and_then(|tenant| tenant.priority)
+            .unwrap_or(self.route.priority);
+        let order = ForwardOrder {
+            instance: &attempt.back_end,
+            remaining: self.limit.saturating_duration_since(Instant::now()),
+            tenant: tenant.map(|tenant| tenant.name.as_str()),
+            resume_after: resume_after.or(self.caller.resume_after.as_deref()),
+            fetch_from,
+            priority,
+        };
+        let headers = self
+            .router
+            .protocol
+            .forward_headers(&self.head.headers, &order);
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.head.method.clone();
+        *request.uri_mut() = origin_form(&self.head.uri);
+        *request.headers_mut() = headers;
+        request
+    }
+
+    /// What the head of an answer proves.
+    async fn classify(&mut self, response: Response<Incoming>, mut attempt: Attempt) -> AttemptEnd {
+        let (head, body) = response.into_parts();
+        let told = self.router.protocol.read_answer(&head);
+        attempt.on_head(&told);
+        let own = told.id.as_deref() == Some(self.id.as_str());
+        let missing = told.id.is_none() && !head.status.is_success();
+        if !own && !missing {
+            attempt.on_failure();
+            return AttemptEnd::Failure(AttemptFailure::Crossed, None);
+        }
+        if told.other_instance || head.status == StatusCode::MISDIRECTED_REQUEST {
+            attempt.on_other_instance();
+            return AttemptEnd::Failure(AttemptFailure::OtherInstance, None);
+        }
+        if told.not_run {
+            return AttemptEnd::Failure(AttemptFailure::Rejected, None);
+        }
+        if head.status.is_server_error() {
+            attempt.on_failure();
+            let collected = Limited::new(body, STORED_ANSWER).collect().await;
+            return match collected {
+                Ok(body) => {
+                    let stored = StoredAnswer {
+                        head,
+                        body: body.to_bytes(),
+                    };
+                    attempt.finish();
+                    AttemptEnd::Failure(AttemptFailure::Failed, Some(stored))
+                }
+                Err(_) => AttemptEnd::Failure(AttemptFailure::Broken, None),
+            };
+        }
+        self.record_place(&attempt.back_end);
+        AttemptEnd::Answer(Response::from_parts(head, body), attempt)
+    }
+}
+
+/// Path and query as the caller sent them.
+fn origin_form(uri: &hyper::Uri) -> hyper::Uri {
+    match uri.path_and_query() {
+        Some(path) => hyper::Uri::from(path.clone()),
+        None => uri.clone(),
+    }
+}
