Hand on what changed in the directory, first within the zone

Ruled out: the news in datagrams (held to 1,600 bytes a second by a bucket). Change: entries and departures carry their revision; a peer answers with what changed since the asker's revision, in postcard; peers in the own zone are asked first; the first read of a store that answers is awaited for 1 s.

--- a/crates/stacktack-core/src/direct/back_end.rs
+++ b/crates/stacktack-core/src/direct/back_end.rs
@@ -5,7 +5,7 @@
 //! not come up. No probe is sent. A bad standing only lowers preference: when
 //! every candidate stands badly, the best of them is still used.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -84,6 +84,30 @@
     pub slots: u32,
     /// Whether it takes no new work.
     pub leaving: bool,
+    /// Revision of the directory at which the entry last changed.
+    pub revision: u64,
+}
+
+/// An entry that left the directory.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Departure {
+    /// Id of the back end.
+    pub id: String,
+    /// Revision of the directory at which it left, or by which it had left.
+    pub revision: u64,
+}
+
+/// What changed in the directory after some revision.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DirectoryDelta {
+    /// Revision up to which the news is complete.
+    pub revision: u64,
+    /// Whether `present` is the whole directory.
+    pub whole: bool,
+    /// Entries that are new or changed.
+    pub present: Vec<BackEndEntry>,
+    /// Entries that left.
+    pub gone: Vec<Departure>,
 }
 
 /// Label that names a back end's zone.
@@ -253,16 +277,28 @@
     pub gone: Vec<String>,
 }
 
+/// Departures that are remembered, to tell peers what changed.
+const MAXIMUM_DEPARTURES: usize = 1024;
+
 /// All back ends that a router knows.
 #[derive(Clone, Debug, Default)]
 pub struct BackEnds {
     members: HashMap<String, BackEnd>,
+    /// Departures after [`BackEnds::known_from`], the oldest first.
+    departures: VecDeque<Departure>,
+    /// Revision from which on every departure is remembered; `None` while no
+    /// whole directory was taken.
+    known_from: Option<u64>,
 }
 
 impl BackEnds {
-    /// Takes one entry of the directory.
+    /// Takes one entry of the directory, unless something newer is known of it.
     pub fn upsert(&mut self, entry: BackEndEntry, now: Time, change: &mut DirectoryChange) {
+        if self.left_after(&entry) {
+            return;
+        }
         match self.members.get_mut(&entry.id) {
+            Some(known) if known.entry.revision > entry.revision => {}
             Some(known) => {
                 if entry.leaving && !known.entry.leaving {
                     change.leaving.push(entry.id.clone());
@@ -277,10 +313,67 @@
         }
     }
 
-    /// The directory no longer lists a back end.
-    pub fn remove(&mut self, id: &str, change: &mut DirectoryChange) {
-        if self.members.remove(id).is_some() {
-            change.gone.push(id.to_owned());
+    fn left_after(&self, entry: &BackEndEntry) -> bool {
+        self.departures
+            .iter()
+            .any(|departure| departure.id == entry.id && departure.revision >= entry.revision)
+    }
+
+    /// The directory no longer lists a back end, unless something newer is known
+    /// of it.
+    pub fn remove(&mut self, departure: Departure, change: &mut DirectoryChange) {
+        let known = self.members.get(&departure.id);
+        if known.is_none_or(|known| known.entry.revision > departure.revision) {
+            return;
+        }
+        self.members.remove(&departure.id);
+        change.gone.push(departure.id.clone());
+        self.departures.push_back(departure);
+        if self.departures.len() > MAXIMUM_DEPARTURES {
+            let oldest = self.departures.pop_front();
+            let forgotten = oldest.map(|departure| departure.revision);
+            self.known_from = self.known_from.max(forgotten);
+        }
+    }
+
+    /// Members that a whole directory as of a revision does not list.
+    pub fn missing_from(&self, listed: &[BackEndEntry], revision: u64) -> Vec<Departure> {
+        let listed: HashSet<&str> = listed.iter().map(|entry| entry.id.as_str()).collect();
+        self.members
+            .keys()
+            .filter(|id| !listed.contains(id.as_str()))
+            .map(|id| Departure {
+                id: id.clone(),
+                revision,
+            })
+            .collect()
+    }
+
+    /// A whole directory as of a revision was taken.
+    pub fn on_whole(&mut self, revision: u64) {
+        self.known_from.get_or_insert(revision);
+    }
+
+    /// What changed after a revision, as of `revision`; everything if not every
+    /// departure since then is remembered.
+    pub fn changes_after(&self, after: u64, revision: u64) -> DirectoryDelta {
+        let whole = self.known_from.is_none_or(|known_from| after < known_from);
+        let changed = |at: u64| whole || at > after;
+        DirectoryDelta {
+            revision,
+            whole,
+            present: self
+                .members
+                .values()
+                .filter(|member| changed(member.entry.revision))
+                .map(|member| member.entry.clone())
+                .collect(),
+            gone: self
+                .departures
+                .iter()
+                .filter(|departure| changed(departure.revision))
+                .cloned()
+                .collect(),
         }
     }
 
--- a/crates/stacktack-core/src/direct/departure.rs
+++ b/crates/stacktack-core/src/direct/departure.rs
@@ -5,12 +5,13 @@
 //! entry that vanished is held: it may only have been unable to renew itself.
 //! One that is still missing afterwards is gone.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use serde::Deserialize;
 
 use crate::chart::{Chart, ChartError};
+use crate::direct::back_end::Departure;
 use crate::time::Time;
 
 /// Time after the store's return in which entries renew themselves.
@@ -113,14 +114,16 @@
     }
 }
 
-/// Entries that vanished and are not taken as gone yet.
+/// Entries that vanished and are not taken as gone yet: id to revision.
 #[derive(Clone, Debug, Default)]
-pub struct HeldDepartures(BTreeSet<String>);
+pub struct HeldDepartures(BTreeMap<String, u64>);
 
 impl HeldDepartures {
-    /// An entry vanished. Returns the ids that are gone for good.
-    pub fn vanish(&mut self, ids: Vec<String>, steady: bool) -> Vec<String> {
-        self.0.extend(ids);
+    /// Entries vanished. Returns those that are gone for good.
+    pub fn vanish(&mut self, departures: Vec<Departure>, steady: bool) -> Vec<Departure> {
+        for departure in departures {
+            self.0.insert(departure.id, departure.revision);
+        }
         if steady {
             self.release()
         } else {
@@ -128,9 +131,11 @@
         }
     }
 
-    /// An entry is there again.
-    pub fn renew(&mut self, id: &str) {
-        self.0.remove(id);
+    /// An entry is there as of a revision.
+    pub fn renew(&mut self, id: &str, revision: u64) {
+        if self.0.get(id).is_some_and(|left| *left < revision) {
+            self.0.remove(id);
+        }
     }
 
     /// Whether no entry is held.
@@ -138,8 +143,18 @@
         self.0.is_empty()
     }
 
+    /// The newest revision up to which all departures were decided, given the
+    /// newest one that was heard: peers may rely on what is known up to there.
+    pub fn decided(&self, heard: u64) -> u64 {
+        let first_held = self.0.values().min();
+        first_held.map_or(heard, |first| heard.min(first.saturating_sub(1)))
+    }
+
     /// Living back ends had time to renew their entries: the held ones are gone.
-    pub fn release(&mut self) -> Vec<String> {
-        std::mem::take(&mut self.0).into_iter().collect()
+    pub fn release(&mut self) -> Vec<Departure> {
+        std::mem::take(&mut self.0)
+            .into_iter()
+            .map(|(id, revision)| Departure { id, revision })
+            .collect()
     }
 }
--- a/crates/stacktack-core/src/direct/peers.rs
+++ b/crates/stacktack-core/src/direct/peers.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::time::Time;
 
@@ -65,6 +66,17 @@
     }
 }
 
+/// Short form of a zone's name on the wire.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct ZoneHash(u16);
+
+impl ZoneHash {
+    /// From a zone's name.
+    pub fn of(zone: &str) -> Self {
+        ZoneHash(xxh3_64(zone.as_bytes()) as u16)
+    }
+}
+
 /// What one router tells another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PeerNews {
@@ -72,9 +84,11 @@
     pub from: SocketAddr,
     /// Drawn anew at each start of the sender.
     pub incarnation: u64,
+    /// Where the sender stands.
+    pub zone: ZoneHash,
     /// Version of the configuration in force; 0 for none.
     pub configuration: u64,
-    /// Newest change of the directory that is known; 0 for none.
+    /// Revision up to which the sender knows the directory; 0 for none.
     pub directory: u64,
     /// Whether the directory answered the sender steadily of late.
     pub settled: bool,
@@ -91,6 +105,7 @@
 #[derive(Clone, Debug)]
 struct Peer {
     incarnation: u64,
+    zone: ZoneHash,
     heard: Time,
     configuration: u64,
     directory: u64,
@@ -113,7 +128,7 @@
 pub struct OwnNews {
     /// Version of the configuration in force.
     pub configuration: u64,
-    /// Newest change of the directory that is known.
+    /// Revision up to which the directory is known.
     pub directory: u64,
     /// Whether the directory answered steadily of late.
     pub settled: bool,
@@ -127,6 +142,7 @@
 #[derive(Debug)]
 pub struct Peers {
     own: SocketAddr,
+    zone: ZoneHash,
     incarnation: u64,
     bytes_per_second: f64,
     saved_bytes: f64,
@@ -151,6 +167,7 @@
     /// Nobody is known but the seeds.
     pub fn new(
         own: SocketAddr,
+        zone: ZoneHash,
         incarnation: u64,
         seeds: &[SocketAddr],
         bytes_per_second: f64,
@@ -158,6 +175,7 @@
     ) -> Self {
         let mut peers = Peers {
             own,
+            zone,
             incarnation,
             bytes_per_second,
             saved_bytes: bytes_per_second * BURST_SECONDS,
@@ -241,6 +259,7 @@
         PeerNews {
             from: self.own,
             incarnation: self.incarnation,
+            zone: self.zone,
             configuration: own.configuration,
             directory: own.directory,
             settled: own.settled,
@@ -269,6 +288,7 @@
             news.from,
             Peer {
                 incarnation: news.incarnation,
+                zone: news.zone,
                 heard: now,
                 configuration: news.configuration,
                 directory: news.directory,
@@ -331,24 +351,28 @@
         sums
     }
 
-    /// The peer with the newest configuration, and its version.
-    pub fn newest_configuration(&self) -> Option<(SocketAddr, u64)> {
-        self.peers
-            .iter()
-            .map(|(address, peer)| (*address, peer.configuration))
-            .max_by_key(|(_, version)| *version)
-    }
-
     /// Whether the directory answered some peer steadily of late.
     pub fn any_settled(&self) -> bool {
         self.peers.values().any(|peer| peer.settled)
     }
 
-    /// The peer with the newest directory, and its newest change.
-    pub fn newest_directory(&self) -> Option<(SocketAddr, u64)> {
+    /// A peer with a newer configuration than this version.
+    pub fn with_newer_configuration(&self, version: u64) -> Option<SocketAddr> {
+        self.with_newer(version, |peer| peer.configuration)
+    }
+
+    /// A peer that knows the directory beyond this revision.
+    pub fn with_newer_directory(&self, revision: u64) -> Option<SocketAddr> {
+        self.with_newer(revision, |peer| peer.directory)
+    }
+
+    /// The peer that knows most beyond `known`; one in the own zone if there is
+    /// any, since bytes between zones are dear.
+    fn with_newer(&self, known: u64, of: impl Fn(&Peer) -> u64) -> Option<SocketAddr> {
         self.peers
             .iter()
-            .map(|(address, peer)| (*address, peer.directory))
-            .max_by_key(|(_, revision)| *revision)
+            .filter(|(_, peer)| of(peer) > known)
+            .max_by_key(|(_, peer)| (peer.zone == self.zone, of(peer)))
+            .map(|(address, _)| *address)
     }
 }
--- a/crates/stacktack-core/tests/direct.rs
+++ b/crates/stacktack-core/tests/direct.rs
@@ -8,7 +8,9 @@
 use rand_chacha::ChaCha8Rng;
 use stacktack_core::configuration::selector::{Labels, Requirement};
 use stacktack_core::direct::attempt::{AttemptFailure, AttemptLedger};
-use stacktack_core::direct::back_end::{BackEndEntry, BackEnds, DirectoryChange, Standing};
+use stacktack_core::direct::back_end::{
+    BackEndEntry, BackEnds, Departure, DirectoryChange, Standing,
+};
 use stacktack_core::direct::budget::{BudgetBound, SharedRetryBudget};
 use stacktack_core::direct::events::EventSplitter;
 use stacktack_core::direct::prompt::{PromptChain, PromptError};
@@ -310,6 +312,7 @@
         labels: Labels::from([("service".to_owned(), "s".to_owned())]),
         slots: 4,
         leaving: false,
+        revision: 1,
     }
 }
 
@@ -380,7 +383,11 @@
     assert_eq!(all.working(), 1);
     let holder = likely_holder(all.iter(), 5, "b").map(|member| member.entry.id.as_str());
     assert_eq!(holder, Some("a"));
-    all.remove("a", &mut change);
+    let left = Departure {
+        id: "a".to_owned(),
+        revision: 9,
+    };
+    all.remove(left, &mut change);
     assert_eq!(change.gone, ["a"]);
     assert!(likely_holder(all.iter(), 5, "b").is_none());
 }
--- a/crates/stacktack-core/tests/peers.rs
+++ b/crates/stacktack-core/tests/peers.rs
@@ -3,7 +3,7 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 
-use stacktack_core::direct::peers::{Outgoing, OwnNews, Peers, ShortId};
+use stacktack_core::direct::peers::{Outgoing, OwnNews, Peers, ShortId, ZoneHash};
 use stacktack_core::time::Time;
 
 const BYTES_PER_SECOND: f64 = 1600.0;
@@ -23,6 +23,7 @@
     let seeds: Vec<_> = seeds.iter().map(|seed| address(*seed)).collect();
     Peers::new(
         address(number),
+        ZoneHash::of("zone"),
         u64::from(number),
         &seeds,
         BYTES_PER_SECOND,
@@ -117,8 +118,11 @@
     for round in 0..8 {
         fleet.round(at(round * 250), &news);
     }
-    assert_eq!(fleet.peers[0].newest_configuration(), Some((address(2), 7)));
-    assert_eq!(fleet.peers[0].newest_directory(), Some((address(2), 7)));
+    let first = &fleet.peers[0];
+    assert_eq!(first.with_newer_configuration(6), Some(address(2)));
+    assert_eq!(first.with_newer_configuration(7), None);
+    assert_eq!(first.with_newer_directory(6), Some(address(2)));
+    assert_eq!(first.with_newer_directory(7), None);
     assert!(fleet.peers[0].any_settled());
     assert!(!fleet.peers[0].any_serving());
 }
@@ -193,3 +197,26 @@
     let seed_only = HashSet::from([address(0)]);
     assert_eq!(told(&mut fleet, 60_000), seed_only);
 }
+
+#[test]
+fn who_knows_more_in_the_own_zone_is_asked_first() {
+    let mut first = peers(0, &[]);
+    let mut tell = |number: u8, zone: &str, revision: u64| {
+        let mut other = Peers::new(
+            address(number),
+            ZoneHash::of(zone),
+            1,
+            &[address(0)],
+            BYTES_PER_SECOND,
+            at(0),
+        );
+        let datagram = other.tick(&own(revision, 0), at(250)).remove(0);
+        first.receive(&datagram.news, at(250));
+    };
+    tell(1, "other", 9);
+    tell(2, "zone", 7);
+    tell(3, "zone", 8);
+    assert_eq!(first.with_newer_directory(5), Some(address(3)));
+    assert_eq!(first.with_newer_directory(8), Some(address(1)));
+    assert_eq!(first.with_newer_directory(9), None);
+}
--- a/crates/stacktack-direct/src/followers.rs
+++ b/crates/stacktack-direct/src/followers.rs
@@ -2,7 +2,6 @@
 //! what to believe.
 
 use std::cell::RefCell;
-use std::collections::HashSet;
 use std::future::Future;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -10,8 +9,8 @@
 
 use rand::RngExt;
 use stacktack_core::chart::ChartError;
-use stacktack_core::direct::back_end::DirectoryChange;
-use stacktack_core::direct::departure::{DirectorySource, HeldDepartures};
+use stacktack_core::direct::back_end::{BackEndEntry, DirectoryChange, DirectoryDelta};
+use stacktack_core::direct::departure::DirectorySource;
 use stacktack_core::time::Time;
 use tokio::sync::Notify;
 use tokio::time::error::Elapsed;
@@ -93,7 +92,8 @@
         }
     }
 
-    fn is_lost(&self) -> bool {
+    /// Whether it does not answer.
+    pub fn is_lost(&self) -> bool {
         self.source.borrow().is_lost()
     }
 
@@ -177,7 +177,10 @@
     directory: Rc<dyn Directory>,
     store: Rc<Dependency>,
 ) {
-    let mut follower = DirectoryFollower::new(router, store.clone());
+    let follower = DirectoryFollower {
+        router,
+        store: store.clone(),
+    };
     let mut after = None;
     let mut pause = Pause::new();
     loop {
@@ -193,8 +196,7 @@
                 store.on_answer(now);
                 follower.router.store_lost.set(false);
                 after = Some(news.revision);
-                let steady = follower.is_steady(now);
-                follower.take(news, now, steady);
+                follower.take_news(news, now);
                 sleep(DIRECTORY_GATHER).await;
             }
             Err(SourceError::HistoryGone) => after = None,
@@ -215,29 +217,13 @@
         .clamp(SHORTEST_DIRECTORY_WAIT, LONGEST_DIRECTORY_WAIT)
 }
 
-/// Takes news of the directory.
-pub struct DirectoryFollower {
+/// Follows the directory.
+struct DirectoryFollower {
     router: Rc<Router>,
     store: Rc<Dependency>,
-    held: HeldDepartures,
 }
 
 impl DirectoryFollower {
-    fn new(router: Rc<Router>, store: Rc<Dependency>) -> Self {
-        DirectoryFollower {
-            router,
-            store,
-            held: HeldDepartures::default(),
-        }
-    }
-
-    /// Takes the directory of a peer that knows more.
-    pub fn take_from_peer(router: &Rc<Router>, store: &Rc<Dependency>, news: DirectoryNews) {
-        let mut follower = DirectoryFollower::new(router.clone(), store.clone());
-        let now = router.now();
-        follower.take(news, now, true);
-    }
-
     /// Time to wait for news in one call. A store that was lost is asked
     /// without a wait, so that its return is noticed at once.
     fn wait(&self) -> Duration {
@@ -250,14 +236,14 @@
     /// Awaits a call's answer, and meanwhile takes as gone what was held long
     /// enough.
     async fn answer(
-        &mut self,
+        &self,
         call: impl Future<Output = Result<Result<DirectoryNews, SourceError>, Elapsed>>,
     ) -> Result<DirectoryNews, SourceError> {
         let mut call = std::pin::pin!(call);
         loop {
             tokio::select! {
                 result = &mut call => return result.unwrap_or(Err(SourceError::Silent)),
-                () = sleep(HELD_LOOK), if !self.held.is_empty() => self.release_held(),
+                () = sleep(HELD_LOOK), if self.holds_any() => self.release_held(),
             }
         }
     }
@@ -267,61 +253,81 @@
         self.store.is_steady(now) || self.router.peers.borrow().any_settled()
     }
 
-    fn release_held(&mut self) {
+    fn holds_any(&self) -> bool {
+        !self.router.held_departures.borrow().is_empty()
+    }
+
+    fn release_held(&self) {
         if !self.is_steady(self.router.now()) {
             return;
         }
         let mut change = DirectoryChange::default();
-        for id in self.held.release() {
-            self.router.back_ends.borrow_mut().remove(&id, &mut change);
+        let gone = self.router.held_departures.borrow_mut().release();
+        for departure in gone {
+            let mut back_ends = self.router.back_ends.borrow_mut();
+            back_ends.remove(departure, &mut change);
         }
-        self.report(&change, self.router.directory_changed.get());
+        report(&self.router, &change, self.router.directory_changed.get());
     }
 
-    fn take(&mut self, news: DirectoryNews, now: Time, steady: bool) {
-        let changed = self.router.directory_changed.get().max(news.changed);
-        self.router.directory_changed.set(changed);
-        let mut change = DirectoryChange::default();
-        let mut gone = news.gone;
-        {
-            let mut back_ends = self.router.back_ends.borrow_mut();
-            if news.whole {
-                let listed: HashSet<&str> =
-                    news.present.iter().map(|entry| entry.id.as_str()).collect();
-                gone.extend(
-                    back_ends
-                        .ids()
-                        .filter(|id| !listed.contains(id))
-                        .map(str::to_owned),
-                );
-            }
-            for entry in news.present {
-                self.held.renew(&entry.id);
-                back_ends.upsert(entry, now, &mut change);
-            }
-            for id in self.held.vanish(gone, steady) {
-                back_ends.remove(&id, &mut change);
-            }
-        }
-        self.report(&change, news.revision);
+    /// Whether a whole directory lists all that is known.
+    fn misses_none(&self, listed: &[BackEndEntry]) -> bool {
+        let back_ends = self.router.back_ends.borrow();
+        back_ends.missing_from(listed, 0).is_empty()
+    }
+
+    fn take_news(&self, news: DirectoryNews, now: Time) {
         for id in &news.invalid {
             log::warn!(target: "directory", "back_end={id} taken=false cause=invalid_row");
         }
+        let mut delta = news.delta;
+        let listed = &delta.present;
+        if delta.whole && !self.misses_none(listed) {
+            // Rows that are gone do not show when they went.
+            delta.revision = news.revision;
+        }
+        take_delta(&self.router, delta, self.is_steady(now));
     }
+}
 
-    fn report(&self, change: &DirectoryChange, revision: u64) {
-        let lists = [
-            ("joined", &change.joined),
-            ("leaving", &change.leaving),
-            ("gone", &change.gone),
-        ];
-        for (word, ids) in lists {
-            for id in ids {
-                log::info!(target: "directory", "back_end={id} now={word} revision={revision}");
-            }
-        }
-        for id in &change.gone {
-            self.router.places.borrow_mut().forget_back_end(id);
+/// Takes news of the directory; while it is not `steady`, entries that vanished
+/// are held.
+pub fn take_delta(router: &Router, delta: DirectoryDelta, steady: bool) {
+    let now = router.now();
+    let revision = delta.revision;
+    let changed = router.directory_changed.get().max(revision);
+    router.directory_changed.set(changed);
+    let mut change = DirectoryChange::default();
+    let mut back_ends = router.back_ends.borrow_mut();
+    let mut held = router.held_departures.borrow_mut();
+    let mut gone = delta.gone;
+    if delta.whole {
+        gone.extend(back_ends.missing_from(&delta.present, revision));
+        back_ends.on_whole(revision);
+    }
+    for entry in delta.present {
+        held.renew(&entry.id, entry.revision);
+        back_ends.upsert(entry, now, &mut change);
+    }
+    for departure in held.vanish(gone, steady) {
+        back_ends.remove(departure, &mut change);
+    }
+    drop(back_ends);
+    report(router, &change, revision);
+}
+
+fn report(router: &Router, change: &DirectoryChange, revision: u64) {
+    let lists = [
+        ("joined", &change.joined),
+        ("leaving", &change.leaving),
+        ("gone", &change.gone),
+    ];
+    for (word, ids) in lists {
+        for id in ids {
+            log::info!(target: "directory", "back_end={id} now={word} revision={revision}");
         }
     }
+    for id in &change.gone {
+        router.places.borrow_mut().forget_back_end(id);
+    }
 }
--- a/crates/stacktack-direct/src/news.rs
+++ b/crates/stacktack-direct/src/news.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use hyper::{Request, StatusCode};
 use serde::{Deserialize, Serialize};
-use stacktack_core::direct::back_end::BackEndEntry;
+use stacktack_core::direct::back_end::DirectoryDelta;
 use stacktack_core::direct::peers::{OwnNews, PeerNews, ShortId, MAXIMUM_DATAGRAM};
 use stacktack_core::direct::route::{TrafficConfiguration, TrafficDocument};
 use stacktack_core::time::Time;
@@ -17,8 +17,7 @@
 use tokio::time::sleep;
 
 use crate::client::{whole_answer, ClientConnection};
-use crate::followers::{Dependency, DirectoryFollower};
-use crate::ports::DirectoryNews;
+use crate::followers::{take_delta, Dependency};
 use crate::router::Router;
 
 /// Time between rounds of news.
@@ -27,6 +26,9 @@
 /// Time for which what a peer knows is awaited from the store.
 const BEHIND_FOR: Duration = Duration::from_millis(250);
 
+/// Time for which the first read of the whole directory is awaited.
+const FIRST_READ: Duration = Duration::from_secs(1);
+
 /// Longest time for a connection to a peer, and for its answer.
 const CONNECT_LIMIT: Duration = Duration::from_millis(300);
 const ANSWER_LIMIT: Duration = Duration::from_millis(800);
@@ -37,40 +39,46 @@
 /// What a router hands to a peer that asks.
 #[derive(Debug, Serialize, Deserialize)]
 struct Knowledge {
-    configuration: Option<TrafficDocument>,
-    directory_changed: u64,
-    directory: Vec<BackEndEntry>,
+    /// A [`TrafficDocument`] as JSON, if it is newer than the peer's.
+    configuration: Option<Vec<u8>>,
+    /// What changed in the directory since the peer's revision.
+    directory: DirectoryDelta,
 }
 
-/// Answers a peer: the configuration if it is newer than the one asked with,
-/// and the directory. The query is the version that the peer has.
+/// Answers a peer with what it lacks. The query is what it has: the version of
+/// its configuration and its revision of the directory, with a comma between.
 pub fn answer_peer(router: &Router, path_and_query: &str) -> (StatusCode, Bytes) {
-    let Some(version) = path_and_query
-        .strip_prefix(PATH)
-        .and_then(|rest| rest.strip_prefix('?'))
-        .and_then(|version| version.parse::<u64>().ok())
-    else {
+    let Some((version, revision)) = read_query(path_and_query) else {
         return (StatusCode::NOT_FOUND, Bytes::new());
     };
-    let configuration = router.configuration.borrow().clone();
+    let directory = router
+        .back_ends
+        .borrow()
+        .changes_after(revision, router.directory_revision());
     let knowledge = Knowledge {
-        configuration: configuration
-            .filter(|known| known.version > version)
-            .map(|known| TrafficDocument::from(known.as_ref())),
-        directory_changed: router.directory_changed.get(),
-        directory: router
-            .back_ends
-            .borrow()
-            .iter()
-            .map(|back_end| back_end.entry.clone())
-            .collect(),
+        configuration: newer_configuration(router, version),
+        directory,
     };
-    match serde_json::to_vec(&knowledge) {
+    match postcard::to_allocvec(&knowledge) {
         Ok(body) => (StatusCode::OK, Bytes::from(body)),
         Err(_) => (StatusCode::INTERNAL_SERVER_ERROR, Bytes::new()),
     }
 }
 
+fn read_query(path_and_query: &str) -> Option<(u64, u64)> {
+    let query = path_and_query.strip_prefix(PATH)?.strip_prefix('?')?;
+    let (version, revision) = query.split_once(',')?;
+    Some((version.parse().ok()?, revision.parse().ok()?))
+}
+
+fn newer_configuration(router: &Router, version: u64) -> Option<Vec<u8>> {
+    let known = router.configuration.borrow().clone()?;
+    if known.version <= version {
+        return None;
+    }
+    serde_json::to_vec(&TrafficDocument::from(known.as_ref())).ok()
+}
+
 /// Takes datagrams of peers for ever.
 pub async fn receive(router: Rc<Router>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; MAXIMUM_DATAGRAM];
@@ -119,16 +127,13 @@
     /// The peer to ask, once its news did not come otherwise for a while.
     fn whom_to_ask(
         &mut self,
-        newest: Option<(SocketAddr, u64)>,
-        own: u64,
+        newer: Option<SocketAddr>,
+        patience: Duration,
         now: Time,
     ) -> Option<SocketAddr> {
-        let newer = newest.filter(|(_, theirs)| *theirs > own);
         self.0 = newer.and(self.0.or(Some(now)));
         let since = self.0?;
-        newer
-            .filter(|_| now.since(since) >= BEHIND_FOR)
-            .map(|(peer, _)| peer)
+        newer.filter(|_| now.since(since) >= patience)
     }
 }
 
@@ -141,20 +146,38 @@
         tell(&router, &socket, &store).await;
         router.take_peer_loads();
         let now = router.now();
-        let newest = router.peers.borrow().newest_configuration();
-        let ask_configuration = configuration.whom_to_ask(newest, router.version(), now);
-        let newest = router.peers.borrow().newest_directory();
-        let ask_directory = directory.whom_to_ask(newest, router.directory_changed.get(), now);
-        for peer in ask_configuration.into_iter().chain(ask_directory) {
-            fetch(&router, &store, peer).await;
+        let newer = router
+            .peers
+            .borrow()
+            .with_newer_configuration(router.version());
+        let ask_configuration = configuration.whom_to_ask(newer, BEHIND_FOR, now);
+        let newer = router
+            .peers
+            .borrow()
+            .with_newer_directory(router.directory_changed.get());
+        let patience = directory_patience(&router, &store);
+        let ask_directory = directory.whom_to_ask(newer, patience, now);
+        if let Some(peer) = ask_directory.or(ask_configuration) {
+            fetch(&router, peer).await;
         }
     }
 }
 
+/// Time for which the directory is awaited from the store. The first read takes
+/// long where it is large, and as long from a peer.
+fn directory_patience(router: &Router, store: &Dependency) -> Duration {
+    let reads_all = router.directory_changed.get() == 0 && !store.is_lost();
+    if reads_all {
+        FIRST_READ
+    } else {
+        BEHIND_FOR
+    }
+}
+
 async fn tell(router: &Router, socket: &UdpSocket, store: &Dependency) {
     let own = OwnNews {
         configuration: router.version(),
-        directory: router.directory_changed.get(),
+        directory: router.directory_revision(),
         serving: router.is_ready(),
         settled: store.is_steady(router.now()),
         loads: router
@@ -181,40 +204,42 @@
 }
 
 /// Fetches what a peer knows beyond this router.
-async fn fetch(router: &Rc<Router>, store: &Rc<Dependency>, peer: SocketAddr) {
-    let Some(knowledge) = ask(router.version(), peer).await else {
+async fn fetch(router: &Router, peer: SocketAddr) {
+    let Some(knowledge) = ask(router, peer).await else {
         log::info!(target: "peers", "peer={peer} fetched=false");
         return;
     };
+    let Knowledge {
+        configuration,
+        directory,
+    } = knowledge;
+    let document = configuration
+        .and_then(|document| serde_json::from_slice::<TrafficDocument>(&document).ok());
     log::info!(
         target: "peers",
-        "peer={peer} fetched=true configuration={} directory={}",
-        knowledge.configuration.as_ref().map_or(0, |known| known.version),
-        knowledge.directory_changed,
+        "peer={peer} fetched=true configuration={} directory={} whole={} changes={}",
+        document.as_ref().map_or(0, |known| known.version),
+        directory.revision,
+        directory.whole,
+        directory.present.len() + directory.gone.len(),
     );
-    if let Some(document) = knowledge.configuration {
+    if let Some(document) = document {
         router.adopt(Arc::new(TrafficConfiguration::from(document)));
     }
-    let fresh = knowledge.directory_changed > router.directory_changed.get();
-    if fresh {
-        let news = DirectoryNews {
-            changed: knowledge.directory_changed,
-            whole: true,
-            present: knowledge.directory,
-            ..DirectoryNews::default()
-        };
-        DirectoryFollower::take_from_peer(router, store, news);
+    if directory.revision > router.directory_changed.get() {
+        take_delta(router, directory, true);
     }
 }
 
-async fn ask(version: u64, peer: SocketAddr) -> Option<Knowledge> {
+async fn ask(router: &Router, peer: SocketAddr) -> Option<Knowledge> {
     let mut connection = ClientConnection::open(peer, CONNECT_LIMIT).await.ok()?;
     let mut request = Request::new(Bytes::new().into());
-    *request.uri_mut() = format!("{PATH}?{version}").parse().ok()?;
+    let (version, revision) = (router.version(), router.directory_changed.get());
+    *request.uri_mut() = format!("{PATH}?{version},{revision}").parse().ok()?;
     let host = hyper::header::HeaderValue::from_str(&peer.to_string()).ok()?;
     request.headers_mut().insert(hyper::header::HOST, host);
     let answer = whole_answer(&mut connection, request, ANSWER_LIMIT)
         .await
         .ok()?;
-    serde_json::from_slice(answer.body()).ok()
+    postcard::from_bytes(answer.body()).ok()
 }
--- a/crates/stacktack-direct/src/ports.rs
+++ b/crates/stacktack-direct/src/ports.rs
@@ -11,7 +11,7 @@
 pub use futures_util::future::LocalBoxFuture;
 use hyper::http::{request, response};
 use hyper::{HeaderMap, Response};
-use stacktack_core::direct::back_end::BackEndEntry;
+use stacktack_core::direct::back_end::DirectoryDelta;
 use stacktack_core::direct::prompt::PromptChain;
 use stacktack_core::direct::route::TrafficConfiguration;
 use thiserror::Error;
@@ -189,16 +189,10 @@
 /// News of the directory.
 #[derive(Debug, Default)]
 pub struct DirectoryNews {
-    /// Revision up to which the news is complete.
+    /// Revision of the source up to which the news is complete.
     pub revision: u64,
-    /// The newest change among the news; 0 if there is none.
-    pub changed: u64,
-    /// Whether `present` is the whole directory.
-    pub whole: bool,
-    /// Entries that are there or changed.
-    pub present: Vec<BackEndEntry>,
-    /// Ids that are gone.
-    pub gone: Vec<String>,
+    /// What changed; its revision is that of the newest change, 0 for none.
+    pub delta: DirectoryDelta,
     /// Rows that do not parse; they are left out.
     pub invalid: Vec<String>,
 }
--- a/crates/stacktack-direct/src/router.rs
+++ b/crates/stacktack-direct/src/router.rs
@@ -9,7 +9,8 @@
 use stacktack_core::configuration::selector::{matches_all, Requirement};
 use stacktack_core::direct::back_end::{BackEnds, ZONE_LABEL};
 use stacktack_core::direct::budget::SharedRetryBudget;
-use stacktack_core::direct::peers::{Peers, ShortId};
+use stacktack_core::direct::departure::HeldDepartures;
+use stacktack_core::direct::peers::{Peers, ShortId, ZoneHash};
 use stacktack_core::direct::places::PrefixPlaces;
 use stacktack_core::direct::route::TrafficConfiguration;
 use stacktack_core::direct::select::DirectCandidate;
@@ -54,8 +55,10 @@
     budgets: RefCell<HashMap<String, SharedRetryBudget>>,
     /// The other routers.
     pub peers: RefCell<Peers>,
-    /// Newest change of the directory that is known.
+    /// Newest change of the directory that was heard.
     pub directory_changed: Cell<u64>,
+    /// Back ends that vanished from the directory and may come back.
+    pub held_departures: RefCell<HeldDepartures>,
     /// Counters and histograms.
     pub metrics: DirectMetrics,
     /// How far the process is on its way to its end.
@@ -81,6 +84,7 @@
     ) -> Self {
         let peers = Peers::new(
             settings.peers.listen,
+            ZoneHash::of(&settings.zone),
             rand::rng().next_u64(),
             &settings.peers.seeds,
             NEWS_BYTES_PER_SECOND,
@@ -97,6 +101,7 @@
             budgets: RefCell::default(),
             peers: RefCell::new(peers),
             directory_changed: Cell::new(0),
+            held_departures: RefCell::default(),
             metrics,
             phase: watch::Sender::new(Phase::Serving),
             store_lost: Cell::new(false),
@@ -140,6 +145,12 @@
         known.as_ref().map_or(0, |known| known.version)
     }
 
+    /// Revision up to which the directory is known and decided.
+    pub fn directory_revision(&self) -> u64 {
+        let held = self.held_departures.borrow();
+        held.decided(self.directory_changed.get())
+    }
+
     /// Takes over what the peers have in flight.
     pub fn take_peer_loads(&self) {
         let loads = self.peers.borrow().loads();
--- a/crates/stacktack-direct/tests/followers.rs
+++ b/crates/stacktack-direct/tests/followers.rs
@@ -11,7 +11,7 @@
 use hyper::http::{request, response};
 use hyper::{HeaderMap, Response};
 use stacktack_core::configuration::selector::Labels;
-use stacktack_core::direct::back_end::BackEndEntry;
+use stacktack_core::direct::back_end::{BackEndEntry, Departure, DirectoryDelta};
 use stacktack_core::direct::budget::BudgetBound;
 use stacktack_direct::followers::{follow_directory, Dependency};
 use stacktack_direct::metrics::DirectMetrics;
@@ -75,20 +75,27 @@
     }
 
     fn news(&self, after: Option<u64>) -> DirectoryNews {
+        let delta = DirectoryDelta {
+            whole: after.is_none(),
+            ..DirectoryDelta::default()
+        };
         let mut news = DirectoryNews {
             revision: self.revision.get(),
-            whole: after.is_none(),
-            ..DirectoryNews::default()
+            delta,
+            invalid: Vec::new(),
         };
         for (id, (revision, present)) in self.rows.borrow().iter() {
             if *revision <= after.unwrap_or(0) {
                 continue;
             }
-            news.changed = news.changed.max(*revision);
+            news.delta.revision = news.delta.revision.max(*revision);
             if *present {
-                news.present.push(entry(id));
+                news.delta.present.push(entry(id, *revision));
             } else if after.is_some() {
-                news.gone.push(id.clone());
+                news.delta.gone.push(Departure {
+                    id: id.clone(),
+                    revision: *revision,
+                });
             }
         }
         news
@@ -101,7 +108,7 @@
                 return Err(SourceError::Broken);
             }
             let news = self.news(after);
-            if news.changed > 0 || after.is_none() {
+            if news.delta.revision > 0 || after.is_none() {
                 return Ok(news);
             }
             changed.await;
@@ -124,13 +131,14 @@
     }
 }
 
-fn entry(id: &str) -> BackEndEntry {
+fn entry(id: &str, revision: u64) -> BackEndEntry {
     BackEndEntry {
         id: id.to_owned(),
         address: SocketAddr::from(([127, 0, 0, 1], 9)),
         labels: Labels::new(),
         slots: 4,
         leaving: false,
+        revision,
     }
 }
 
