Suspect a back end after few failures; routers tell each other whom

A router of 22 sends each of 45 workers 0.7 requests a second; the failure share (weight 0.12 an outcome, against twice the pool's plus 0.15) needs three or more failures, 4 s, and none of it was told to peers. Each 500 also counted as a good outcome when its connection was put to rest. Ruled out: retries (in the budget all along); health checks (none are sent). Change: a sequential test (CUSUM) with the pool's middle share as the usual one; a suspect gets one repeatable request at a time after a pause of 1 to 4 s; datagrams name suspects, which peers pass by for 1.5 s unless an own good answer is younger, and unless over a third of the pool is accused. The byte counts of tests/peers.rs are those of the wire now (postcard, not JSON): the JSON form grew by a field name and the test's budget held less than the product's does.

--- a/crates/stacktack-core/src/direct/back_end.rs
+++ b/crates/stacktack-core/src/direct/back_end.rs
@@ -14,6 +14,7 @@
 
 use crate::configuration::selector::Labels;
 use crate::direct::peers::ShortId;
+use crate::direct::suspicion::Suspicion;
 use crate::time::Time;
 
 /// Connections in a row that failed before a back end is passed by.
@@ -31,12 +32,6 @@
 /// Weight of the newest outcome in a back end's failure share.
 const FAILURE_WEIGHT: f64 = 0.12;
 
-/// A failure share is degraded above this multiple of the pool's share ...
-const DEGRADED_FACTOR: f64 = 2.0;
-
-/// ... plus this much.
-const DEGRADED_SLACK: f64 = 0.15;
-
 /// Weight of the newest time to the first byte.
 const LATENCY_WEIGHT: f64 = 0.15;
 
@@ -46,7 +41,18 @@
 /// Age up to which a told load counts.
 const TOLD_LOAD_AGE: Duration = Duration::from_millis(300);
 
-/// Time after which a back end that got no requests is given the benefit of the doubt.
+/// Age up to which a peer's accusation counts.
+const ACCUSATION_AGE: Duration = Duration::from_millis(1500);
+
+/// Age up to which an own good answer outweighs an accusation.
+const RECENT_SUCCESS: Duration = Duration::from_millis(500);
+
+/// Share of a pool above which accusations are not believed: then something else
+/// is wrong.
+const ACCUSED_SHARE: f64 = 0.34;
+
+/// Time after which a slow back end that got no requests is given the benefit of
+/// the doubt.
 const FORGET: Duration = Duration::from_secs(3);
 
 /// How well a back end stands; lower is better.
@@ -129,6 +135,12 @@
     failures_in_a_row: u32,
     ejected_until: Option<Time>,
     failure_share: f64,
+    /// Failure share of its pool at the last choice from it.
+    usual_failure_share: f64,
+    suspicion: Suspicion,
+    /// When a peer last said that it suspects it.
+    accused: Option<Time>,
+    last_success: Option<Time>,
     first_byte_seconds: Option<f64>,
     silent_since: Time,
     last_used: Time,
@@ -146,6 +158,10 @@
             failures_in_a_row: 0,
             ejected_until: None,
             failure_share: 0.0,
+            usual_failure_share: 0.0,
+            suspicion: Suspicion::default(),
+            accused: None,
+            last_success: None,
             first_byte_seconds: None,
             silent_since: now,
             last_used: now,
@@ -196,10 +212,40 @@
         self.first_byte_seconds = Some(mean + LATENCY_WEIGHT * (seconds - mean));
     }
 
-    /// An attempt ended well or with a failure of the back end.
-    pub fn on_outcome(&mut self, failed: bool) {
+    /// An answer began well, or an attempt ended with a failure of the back end.
+    /// Returns whether it is suspect from now on.
+    pub fn on_outcome(&mut self, failed: bool, now: Time) -> bool {
         let value = f64::from(u8::from(failed));
         self.failure_share += FAILURE_WEIGHT * (value - self.failure_share);
+        if !failed {
+            self.last_success = Some(now);
+        }
+        let before = self.suspicion.is_suspect();
+        self.suspicion
+            .on_outcome(failed, self.usual_failure_share, now);
+        self.suspicion.is_suspect() && !before
+    }
+
+    /// Whether its failures make this router suspect it.
+    pub fn is_suspect(&self) -> bool {
+        self.suspicion.is_suspect()
+    }
+
+    /// A peer's failures make it suspect the back end.
+    pub fn on_accused(&mut self, now: Time) {
+        self.accused = Some(now);
+    }
+
+    /// Whether a peer accused it of late and nothing was seen here that speaks
+    /// against that.
+    fn is_accused(&self, now: Time) -> bool {
+        let accused = self
+            .accused
+            .is_some_and(|at| now.since(at) < ACCUSATION_AGE);
+        let worked = self
+            .last_success
+            .is_some_and(|at| now.since(at) < RECENT_SUCCESS);
+        accused && !worked
     }
 
     /// A connection failed or the back end fell silent. Returns whether it is
@@ -222,50 +268,83 @@
         self.in_flight > 0 && now.since(self.silent_since) > SILENCE
     }
 
-    fn standing(&self, now: Time, pool: &PoolMeans) -> Standing {
+    fn standing(&self, now: Time, pool: &PoolMeans, request: RequestRisk) -> Standing {
         let ejected = self.ejected_until.is_some_and(|until| now < until);
         if ejected || self.is_silent(now) {
             return Standing::Ejected;
         }
-        if now.since(self.last_used) > FORGET {
-            return Standing::Good;
+        let failing = self.suspicion.is_suspect() && !self.may_be_tried(now, request);
+        if failing || (pool.believes_accusations && self.is_accused(now)) {
+            return Standing::Degraded;
+        }
+        if self.is_slow(pool) && now.since(self.last_used) <= FORGET {
+            return Standing::Degraded;
         }
-        let failing = self.failure_share > DEGRADED_FACTOR * pool.failure_share + DEGRADED_SLACK;
-        let slow = match (self.first_byte_seconds, pool.first_byte_seconds) {
+        Standing::Good
+    }
+
+    /// Whether a suspect may get this request: one at a time, and none whose
+    /// failure is final.
+    fn may_be_tried(&self, now: Time, request: RequestRisk) -> bool {
+        request == RequestRisk::Repeatable
+            && self.in_flight == 0
+            && self.suspicion.may_be_tried(now)
+    }
+
+    fn is_slow(&self, pool: &PoolMeans) -> bool {
+        match (self.first_byte_seconds, pool.first_byte_seconds) {
             (Some(own), Some(mean)) => own > SLOW_FACTOR * mean,
             _ => false,
-        };
-        if failing || slow {
-            Standing::Degraded
-        } else {
-            Standing::Good
         }
     }
 }
 
+/// What a failure costs a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestRisk {
+    /// It can be sent to another back end.
+    Repeatable,
+    /// It is final.
+    Final,
+}
+
 struct PoolMeans {
+    /// Failure share of the middle member.
     failure_share: f64,
+    /// Time to the first byte of the middle member.
     first_byte_seconds: Option<f64>,
+    /// Whether so few members are accused that accusations are believed.
+    believes_accusations: bool,
 }
 
 impl PoolMeans {
-    fn of<'a>(members: impl Iterator<Item = &'a BackEnd>) -> Self {
-        let mut failure_sum = 0.0;
-        let mut count: f64 = 0.0;
-        let mut latencies = Vec::new();
-        for member in members {
-            failure_sum += member.failure_share;
-            count += 1.0;
-            latencies.extend(member.first_byte_seconds);
-        }
-        latencies.sort_unstable_by(f64::total_cmp);
+    fn of(members: &[&mut BackEnd], now: Time) -> Self {
+        let shares = members.iter().map(|member| member.failure_share);
+        let latencies = members
+            .iter()
+            .filter_map(|member| member.first_byte_seconds);
+        let accused = members
+            .iter()
+            .filter(|member| member.is_accused(now))
+            .count();
         PoolMeans {
-            failure_share: failure_sum / count.max(1.0),
-            first_byte_seconds: latencies.get(latencies.len() / 2).copied(),
+            failure_share: middle(shares.collect()).unwrap_or(0.0),
+            first_byte_seconds: middle(latencies.collect()),
+            believes_accusations: accused as f64 <= members.len() as f64 * ACCUSED_SHARE,
         }
     }
 }
 
+/// The middle one of some values.
+fn middle(mut values: Vec<f64>) -> Option<f64> {
+    if values.is_empty() {
+        return None;
+    }
+    let index = values.len() / 2;
+    let (_, middle, _) = values.select_nth_unstable_by(index, f64::total_cmp);
+    Some(*middle)
+}
+
 /// What changed with a new list of the directory.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct DirectoryChange {
@@ -418,21 +497,39 @@
             .count()
     }
 
-    /// Members that take new work and meet the test, each with its standing.
+    /// Members that take new work and meet the test, each with its standing for
+    /// a request.
     pub fn pool(
-        &self,
+        &mut self,
         now: Time,
+        request: RequestRisk,
         meets: impl Fn(&BackEndEntry) -> bool,
     ) -> Vec<(&BackEnd, Standing)> {
-        let members: Vec<&BackEnd> = self
+        let mut members: Vec<&mut BackEnd> = self
             .members
-            .values()
+            .values_mut()
             .filter(|member| !member.entry.leaving && meets(&member.entry))
             .collect();
-        let means = PoolMeans::of(members.iter().copied());
+        let means = PoolMeans::of(&members, now);
+        for member in &mut members {
+            member.usual_failure_share = means.failure_share;
+        }
         members
             .into_iter()
-            .map(|member| (member, member.standing(now, &means)))
+            .map(|member| {
+                let standing = member.standing(now, &means, request);
+                (&*member, standing)
+            })
+            .collect()
+    }
+
+    /// Short ids of members that this router suspects, at most `most`.
+    pub fn suspects(&self, most: usize) -> Vec<ShortId> {
+        self.members
+            .values()
+            .filter(|member| member.is_suspect())
+            .map(|member| ShortId::of(member.id_hash))
+            .take(most)
             .collect()
     }
 }
--- a/crates/stacktack-core/src/direct/mod.rs
+++ b/crates/stacktack-core/src/direct/mod.rs
@@ -11,6 +11,7 @@
 //! - [`back_end`]: what the router believes of each back end.
 //! - [`departure`]: when a back end that vanished from the directory is gone.
 //! - [`select`]: choice of a back end, a pure function over a snapshot.
+//! - [`suspicion`]: whether a back end fails more often than its pool.
 //! - [`attempt`]: what one attempt proved and what follows from it.
 //! - [`budget`]: the retry budget that all routers share.
 //! - [`events`]: whole events of a stream, for resumption.
@@ -25,3 +26,4 @@
 pub mod prompt;
 pub mod route;
 pub mod select;
+pub mod suspicion;
--- a/crates/stacktack-core/src/direct/peers.rs
+++ b/crates/stacktack-core/src/direct/peers.rs
@@ -98,6 +98,8 @@
     pub loads: Vec<(ShortId, u16)>,
     /// Prompt parts and the back end that read them last.
     pub places: Vec<(u64, ShortId)>,
+    /// Back ends whose failures the sender saw and that it passes by.
+    pub suspects: Vec<ShortId>,
     /// A few other routers.
     pub routers: Vec<SocketAddr>,
 }
@@ -136,6 +138,8 @@
     pub serving: bool,
     /// Requests in flight by back end.
     pub loads: Vec<(ShortId, u16)>,
+    /// Back ends that this router suspects.
+    pub suspects: Vec<ShortId>,
 }
 
 /// The other routers as far as known.
@@ -266,6 +270,7 @@
             serving: own.serving,
             loads,
             places,
+            suspects: own.suspects.clone(),
             routers,
         }
     }
--- a/crates/stacktack-core/tests/direct.rs
+++ b/crates/stacktack-core/tests/direct.rs
@@ -9,7 +9,7 @@
 use stacktack_core::configuration::selector::{Labels, Requirement};
 use stacktack_core::direct::attempt::{AttemptFailure, AttemptLedger};
 use stacktack_core::direct::back_end::{
-    BackEndEntry, BackEnds, Departure, DirectoryChange, Standing,
+    BackEndEntry, BackEnds, Departure, DirectoryChange, RequestRisk, Standing,
 };
 use stacktack_core::direct::budget::{BudgetBound, SharedRetryBudget};
 use stacktack_core::direct::events::EventSplitter;
@@ -325,7 +325,12 @@
 }
 
 fn standing(all: &BackEnds, id: &str, now: Time) -> Option<Standing> {
-    all.pool(now, |_| true)
+    standing_for(all, id, now, RequestRisk::Final)
+}
+
+fn standing_for(all: &BackEnds, id: &str, now: Time, request: RequestRisk) -> Option<Standing> {
+    all.clone()
+        .pool(now, request, |_| true)
         .into_iter()
         .find(|(member, _)| member.entry.id == id)
         .map(|(_, standing)| standing)
@@ -363,7 +368,7 @@
         for id in ["a", "b", "c"] {
             let member = all.get_mut(id).expect("known");
             member.on_send(at(turn));
-            member.on_outcome(id == "a" && turn % 2 == 0);
+            member.on_outcome(id == "a" && turn % 2 == 0, at(turn));
             member.on_end();
         }
     }
@@ -422,7 +427,7 @@
 
 #[test]
 fn pools_are_bounded_by_labels() {
-    let all = back_ends(&["a"]);
+    let mut all = back_ends(&["a"]);
     let wanted = Requirement {
         key: "service".to_owned(),
         equals: Some("other".to_owned()),
@@ -431,7 +436,9 @@
         not_in: None,
         exists: None,
     };
-    let pool = all.pool(at(0), |entry| wanted.matches(&entry.labels));
+    let pool = all.pool(at(0), RequestRisk::Final, |entry| {
+        wanted.matches(&entry.labels)
+    });
     assert!(pool.is_empty());
 }
 
--- a/crates/stacktack-core/tests/peers.rs
+++ b/crates/stacktack-core/tests/peers.rs
@@ -31,8 +31,9 @@
     )
 }
 
+/// Bytes of a datagram as it goes over the wire.
 fn length(datagram: &Outgoing) -> usize {
-    serde_json::to_vec(&datagram.news)
+    postcard::to_allocvec(&datagram.news)
         .expect("serializes")
         .len()
 }
@@ -79,6 +80,7 @@
         settled: true,
         serving: load > 0,
         loads: vec![(ShortId(5), load)],
+        suspects: Vec::new(),
     }
 }
 
--- /dev/null
+++ b/crates/stacktack-core/tests/suspicion.rs
@@ -0,0 +1,133 @@
+//! Back ends that fail more often than their pool, seen by a router that sends
+//! each of them few requests.
+
+use std::net::SocketAddr;
+
+use stacktack_core::configuration::selector::Labels;
+use stacktack_core::direct::back_end::{
+    BackEndEntry, BackEnds, DirectoryChange, RequestRisk, Standing,
+};
+use stacktack_core::direct::suspicion::Suspicion;
+use stacktack_core::time::Time;
+
+const RARE: f64 = 0.0;
+const COMMON: f64 = 0.14;
+
+fn at(milliseconds: u64) -> Time {
+    Time(milliseconds * 1000)
+}
+
+fn after(outcomes: &[bool], usual: f64) -> Suspicion {
+    let mut suspicion = Suspicion::default();
+    for failed in outcomes {
+        suspicion.on_outcome(*failed, usual, at(0));
+    }
+    suspicion
+}
+
+#[test]
+fn one_failure_is_enough_where_failures_are_rare() {
+    assert!(after(&[true], RARE).is_suspect());
+    assert!(!after(&[false, false], RARE).is_suspect());
+}
+
+#[test]
+fn it_takes_several_where_failures_are_common() {
+    assert!(!after(&[true, true], COMMON).is_suspect());
+    assert!(after(&[true, true, true], COMMON).is_suspect());
+    let mixed = [true, false, false, true, false, false, true, false, false];
+    assert!(!after(&mixed, COMMON).is_suspect());
+}
+
+#[test]
+fn a_suspect_is_passed_by_for_longer_each_time_until_it_is_cleared() {
+    let mut suspicion = after(&[true], RARE);
+    assert!(!suspicion.may_be_tried(at(900)));
+    assert!(suspicion.may_be_tried(at(1000)));
+    suspicion.on_outcome(true, RARE, at(1000));
+    assert!(!suspicion.may_be_tried(at(2900)));
+    assert!(suspicion.may_be_tried(at(3000)));
+    for _ in 0..2 {
+        suspicion.on_outcome(false, RARE, at(3000));
+    }
+    assert!(!suspicion.is_suspect());
+    suspicion.on_outcome(true, RARE, at(9000));
+    assert!(suspicion.may_be_tried(at(10_000)), "the first pause again");
+}
+
+fn pool(size: usize) -> BackEnds {
+    let mut all = BackEnds::default();
+    for number in 0..size {
+        let entry = BackEndEntry {
+            id: format!("b{number}"),
+            address: SocketAddr::from(([127, 0, 0, 1], 9)),
+            labels: Labels::new(),
+            slots: 4,
+            leaving: false,
+            revision: 1,
+        };
+        all.upsert(entry, at(0), &mut DirectoryChange::default());
+    }
+    all
+}
+
+fn standing(all: &mut BackEnds, id: &str, now: Time, request: RequestRisk) -> Standing {
+    let members = all.pool(now, request, |_| true);
+    let member = members.iter().find(|(member, _)| member.entry.id == id);
+    member.expect("a member").1
+}
+
+#[test]
+fn a_suspect_is_tried_with_one_request_that_may_be_repeated() {
+    let mut all = pool(6);
+    all.get_mut("b0").expect("known").on_outcome(true, at(0));
+    for risk in [RequestRisk::Final, RequestRisk::Repeatable] {
+        assert_eq!(standing(&mut all, "b0", at(10), risk), Standing::Degraded);
+    }
+    let later = at(1100);
+    assert_eq!(
+        standing(&mut all, "b0", later, RequestRisk::Final),
+        Standing::Degraded
+    );
+    assert_eq!(
+        standing(&mut all, "b0", later, RequestRisk::Repeatable),
+        Standing::Good
+    );
+    all.get_mut("b0").expect("known").on_send(later);
+    assert_eq!(
+        standing(&mut all, "b0", later, RequestRisk::Repeatable),
+        Standing::Degraded
+    );
+    let member = all.get_mut("b0").expect("known");
+    member.on_end();
+    member.on_outcome(false, later);
+    assert_eq!(
+        standing(&mut all, "b0", later, RequestRisk::Final),
+        Standing::Good
+    );
+}
+
+#[test]
+fn what_a_peer_saw_counts_for_a_while_and_less_than_an_own_good_answer() {
+    let mut all = pool(6);
+    all.get_mut("b0").expect("known").on_accused(at(0));
+    let risk = RequestRisk::Repeatable;
+    assert_eq!(standing(&mut all, "b0", at(100), risk), Standing::Degraded);
+    assert!(all.suspects(9).is_empty(), "hearsay is not told on");
+    assert_eq!(standing(&mut all, "b0", at(1600), risk), Standing::Good);
+    let member = all.get_mut("b0").expect("known");
+    member.on_accused(at(2000));
+    member.on_outcome(false, at(2100));
+    assert_eq!(standing(&mut all, "b0", at(2200), risk), Standing::Good);
+    assert_eq!(standing(&mut all, "b0", at(2700), risk), Standing::Degraded);
+}
+
+#[test]
+fn accusations_of_many_are_not_believed() {
+    let mut all = pool(6);
+    for id in ["b0", "b1", "b2"] {
+        all.get_mut(id).expect("known").on_accused(at(0));
+    }
+    let risk = RequestRisk::Final;
+    assert_eq!(standing(&mut all, "b0", at(100), risk), Standing::Good);
+}
--- a/crates/stacktack-direct/src/attempt.rs
+++ b/crates/stacktack-direct/src/attempt.rs
@@ -101,19 +101,30 @@
         self.with_back_end(|back_end| back_end.on_bytes(now));
     }
 
+    /// The answer began well.
+    pub fn on_good_answer(&self) {
+        let now = self.router.now();
+        self.with_back_end(|back_end| {
+            back_end.on_outcome(false, now);
+        });
+    }
+
     /// The back end failed the request.
     pub fn on_failure(&self) {
-        self.with_back_end(|back_end| back_end.on_outcome(true));
+        let now = self.router.now();
+        let mut suspect = false;
+        self.with_back_end(|back_end| suspect = back_end.on_outcome(true, now));
+        if suspect {
+            log::info!(target: "belief", "back_end={} suspect=true cause=failures", self.back_end);
+        }
     }
 
     /// The back end could not be reached or fell silent.
     pub fn on_unreachable(&self) {
+        self.on_failure();
         let now = self.router.now();
         let mut ejected = false;
-        self.with_back_end(|back_end| {
-            back_end.on_outcome(true);
-            ejected = back_end.on_unreachable(now);
-        });
+        self.with_back_end(|back_end| ejected = back_end.on_unreachable(now));
         if ejected {
             log::info!(target: "belief", "back_end={} ejected=true cause=unreachable", self.back_end);
         }
@@ -131,7 +142,6 @@
 
     /// The answer is whole: the connection may serve another request.
     pub fn finish(mut self) {
-        self.with_back_end(|back_end| back_end.on_outcome(false));
         if let Some(connection) = self.connection.take() {
             if connection.is_open() {
                 let mut resting = self.router.connections.borrow_mut();
--- a/crates/stacktack-direct/src/choice.rs
+++ b/crates/stacktack-direct/src/choice.rs
@@ -5,7 +5,7 @@
 
 use rand::Rng;
 use stacktack_core::configuration::selector::matches_all;
-use stacktack_core::direct::back_end::Standing;
+use stacktack_core::direct::back_end::{RequestRisk, Standing};
 use stacktack_core::direct::peers::ShortId;
 use stacktack_core::direct::select::{
     likely_holder, select_by_affinity, select_by_load, SelectBounds, Selection,
@@ -22,7 +22,9 @@
 impl Exchange {
     /// Chooses a back end that was not tried; `None` when there is none.
     pub(crate) fn select(&self) -> Option<(Selection, String, Standing)> {
-        let (candidates, ids) = self.router.candidates(self.pool(), &self.tried);
+        let (candidates, ids) = self
+            .router
+            .candidates(self.pool(), &self.tried, self.risk());
         let bounds = SelectBounds::below(self.router.bounds().load_cap);
         let selection = match self.caller.prompt.affinity_part() {
             Some(part) => select_by_affinity(&candidates, part.id, &bounds),
@@ -32,6 +34,15 @@
         Some((selection, ids[selection.index].clone(), standing))
     }
 
+    /// What a failure of the next attempt costs.
+    fn risk(&self) -> RequestRisk {
+        if self.may_repeat_next() {
+            RequestRisk::Repeatable
+        } else {
+            RequestRisk::Final
+        }
+    }
+
     /// Another back end that keeps, or is likely to keep, the shared parts of
     /// the prompt; `None` when the chosen one is known to keep them.
     pub(crate) fn fetch_source(&self, back_end: &str) -> Option<SocketAddr> {
--- a/crates/stacktack-direct/src/news.rs
+++ b/crates/stacktack-direct/src/news.rs
@@ -33,6 +33,9 @@
 const CONNECT_LIMIT: Duration = Duration::from_millis(300);
 const ANSWER_LIMIT: Duration = Duration::from_millis(800);
 
+/// Suspected back ends that are told to peers.
+const SUSPECTS_TOLD: usize = 24;
+
 /// Path of the documents that peers fetch.
 const PATH: &str = "/knowledge";
 
@@ -107,6 +110,9 @@
             news.directory,
         );
     }
+    if !news.suspects.is_empty() {
+        router.take_accusations(&news.suspects);
+    }
     if news.places.is_empty() {
         return;
     }
@@ -190,6 +196,7 @@
                 (ShortId::of(back_end.id_hash), load)
             })
             .collect(),
+        suspects: router.back_ends.borrow().suspects(SUSPECTS_TOLD),
     };
     let now = router.now();
     let outgoing = router.peers.borrow_mut().tick(&own, now);
--- a/crates/stacktack-direct/src/router.rs
+++ b/crates/stacktack-direct/src/router.rs
@@ -7,7 +7,7 @@
 
 use rand::Rng;
 use stacktack_core::configuration::selector::{matches_all, Requirement};
-use stacktack_core::direct::back_end::{BackEnds, ZONE_LABEL};
+use stacktack_core::direct::back_end::{BackEnds, RequestRisk, ZONE_LABEL};
 use stacktack_core::direct::budget::SharedRetryBudget;
 use stacktack_core::direct::departure::HeldDepartures;
 use stacktack_core::direct::peers::{Peers, ShortId, ZoneHash};
@@ -160,6 +160,17 @@
         }
     }
 
+    /// Takes over which back ends a peer suspects.
+    pub fn take_accusations(&self, suspects: &[ShortId]) {
+        let now = self.now();
+        let mut back_ends = self.back_ends.borrow_mut();
+        for back_end in back_ends.iter_mut() {
+            if suspects.contains(&ShortId::of(back_end.id_hash)) {
+                back_end.on_accused(now);
+            }
+        }
+    }
+
     /// Takes a configuration if it is newer than the one in force.
     pub fn adopt(&self, configuration: Arc<TrafficConfiguration>) {
         let mut known = self.configuration.borrow_mut();
@@ -209,15 +220,16 @@
         act(budget)
     }
 
-    /// Candidates of a pool, and their ids in the same order.
+    /// Candidates of a pool for a request, and their ids in the same order.
     pub fn candidates(
         &self,
         pool: &[Requirement],
         excluded: &[String],
+        request: RequestRisk,
     ) -> (Vec<DirectCandidate>, Vec<String>) {
         let now = self.now();
-        let back_ends = self.back_ends.borrow();
-        let members = back_ends.pool(now, |entry| {
+        let mut back_ends = self.back_ends.borrow_mut();
+        let members = back_ends.pool(now, request, |entry| {
             matches_all(pool, &entry.labels) && !excluded.contains(&entry.id)
         });
         let mut candidates = Vec::with_capacity(members.len());
--- a/crates/stacktack-direct/src/sending.rs
+++ b/crates/stacktack-direct/src/sending.rs
@@ -125,15 +125,20 @@
         }
     }
 
-    /// Time that an attempt is given for the head of its answer.
-    fn attempt_patience(&self) -> Duration {
-        let remaining = self.limit.saturating_duration_since(Instant::now());
+    /// Whether the request may be sent again when the next attempt fails.
+    pub(crate) fn may_repeat_next(&self) -> bool {
         let next = AttemptLedger {
             sends: self.ledger.sends + 1,
             may_have_run: true,
             ..self.ledger
         };
-        if next.may_send_again(self.route.kind, self.route.max_attempts) {
+        next.may_send_again(self.route.kind, self.route.max_attempts)
+    }
+
+    /// Time that an attempt is given for the head of its answer.
+    fn attempt_patience(&self) -> Duration {
+        let remaining = self.limit.saturating_duration_since(Instant::now());
+        if self.may_repeat_next() {
             remaining.min(self.route.objective * SILENCE_OBJECTIVES)
         } else {
             remaining
@@ -202,6 +207,7 @@
                 Err(_) => AttemptEnd::Failure(AttemptFailure::Broken, None),
             };
         }
+        attempt.on_good_answer();
         self.record_place(&attempt.back_end);
         AttemptEnd::Answer(Response::from_parts(head, body), attempt)
     }
