--- a/crates/stacktack-core/src/direct/back_end.rs
+++ b/crates/stacktack-core/src/direct/back_end.rs
@@ -44,6 +44,9 @@
 /// Age up to which a peer's accusation counts.
 const ACCUSATION_AGE: Duration = Duration::from_millis(1500);
 
+/// Peers that have to accuse a back end: single failures are scattered over many.
+const ACCUSERS: usize = 2;
+
 /// Age up to which an own good answer outweighs an accusation.
 const RECENT_SUCCESS: Duration = Duration::from_millis(500);
 
@@ -138,8 +141,8 @@
     /// Failure share of its pool at the last choice from it.
     usual_failure_share: f64,
     suspicion: Suspicion,
-    /// When a peer last said that it suspects it.
-    accused: Option<Time>,
+    /// Peers that said of late that they suspect it, and when.
+    accusations: Vec<(SocketAddr, Time)>,
     last_success: Option<Time>,
     first_byte_seconds: Option<f64>,
     silent_since: Time,
@@ -160,7 +163,7 @@
             failure_share: 0.0,
             usual_failure_share: 0.0,
             suspicion: Suspicion::default(),
-            accused: None,
+            accusations: Vec::new(),
             last_success: None,
             first_byte_seconds: None,
             silent_since: now,
@@ -232,16 +235,20 @@
     }
 
     /// A peer's failures make it suspect the back end.
-    pub fn on_accused(&mut self, now: Time) {
-        self.accused = Some(now);
+    pub fn on_accused(&mut self, peer: SocketAddr, now: Time) {
+        self.accusations
+            .retain(|(accuser, at)| *accuser != peer && now.since(*at) < ACCUSATION_AGE);
+        self.accusations.push((peer, now));
     }
 
-    /// Whether a peer accused it of late and nothing was seen here that speaks
-    /// against that.
+    /// Whether several peers accused it of late and nothing was seen here that
+    /// speaks against that.
     fn is_accused(&self, now: Time) -> bool {
-        let accused = self
-            .accused
-            .is_some_and(|at| now.since(at) < ACCUSATION_AGE);
+        let fresh = self
+            .accusations
+            .iter()
+            .filter(|(_, at)| now.since(*at) < ACCUSATION_AGE);
+        let accused = fresh.count() >= ACCUSERS;
         let worked = self
             .last_success
             .is_some_and(|at| now.since(at) < RECENT_SUCCESS);
--- a/crates/stacktack-direct/src/news.rs
+++ b/crates/stacktack-direct/src/news.rs
@@ -111,7 +111,7 @@
         );
     }
     if !news.suspects.is_empty() {
-        router.take_accusations(&news.suspects);
+        router.take_accusations(news.from, &news.suspects);
     }
     if news.places.is_empty() {
         return;
--- a/crates/stacktack-direct/src/router.rs
+++ b/crates/stacktack-direct/src/router.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -161,12 +162,12 @@
     }
 
     /// Takes over which back ends a peer suspects.
-    pub fn take_accusations(&self, suspects: &[ShortId]) {
+    pub fn take_accusations(&self, peer: SocketAddr, suspects: &[ShortId]) {
         let now = self.now();
         let mut back_ends = self.back_ends.borrow_mut();
         for back_end in back_ends.iter_mut() {
             if suspects.contains(&ShortId::of(back_end.id_hash)) {
-                back_end.on_accused(now);
+                back_end.on_accused(peer, now);
             }
         }
     }
