--- a/crates/stacktack-core/src/direct/back_end.rs
+++ b/crates/stacktack-core/src/direct/back_end.rs
@@ -530,11 +530,12 @@
             .collect()
     }
 
-    /// Short ids of members that this router suspects, at most `most`.
-    pub fn suspects(&self, most: usize) -> Vec<ShortId> {
+    /// Short ids of members that this router suspects or that are silent, at
+    /// most `most`.
+    pub fn suspects(&self, now: Time, most: usize) -> Vec<ShortId> {
         self.members
             .values()
-            .filter(|member| member.is_suspect())
+            .filter(|member| member.is_suspect() || member.is_silent(now))
             .map(|member| ShortId::of(member.id_hash))
             .take(most)
             .collect()
