Part answering from running a request; imports run one way

exchange and admission, exchange and answer imported each other. respond.rs turns the end of an exchange into an answer, and holds all times to come back.

--- a/crates/stacktack-direct/src/admission.rs
+++ b/crates/stacktack-direct/src/admission.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -15,30 +15,20 @@
 
 use crate::answer::AnswerBody;
 use crate::exchange::{Exchange, Outcome};
-use crate::ports::{CallerRequest, Refusal, RefusalKind};
+use crate::ports::{CallerRequest, RefusalKind};
+use crate::respond::{refuse_early, respond};
 use crate::router::{Phase, Router};
 
-/// Time after which a caller may come back when nobody could take its request.
-pub const RETRY_AFTER: Duration = Duration::from_millis(150);
-
-/// Time after which a caller may come back while nothing is known yet.
-const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(300);
-
-/// Time after which a caller may come back while the store does not answer and
-/// nothing is known: outages last seconds.
-const OUTAGE_RETRY_AFTER: Duration = Duration::from_millis(2500);
-
-/// Time in which a stopped router is back, as a rule.
-const RETURN_TIME: Duration = Duration::from_millis(900);
-
 /// Answers one request.
 pub async fn answer(router: Rc<Router>, request: Request<Incoming>) -> Response<AnswerBody> {
     let started = Instant::now();
     let (head, body) = request.into_parts();
     let caller = router.protocol.read_request(&head);
     match admit(&router, started, head, body, caller).await {
-        Ok(exchange) => exchange.run().await,
-        Err(refused) => refuse_early(&router, refused),
+        Ok(exchange) => respond(exchange).await,
+        Err(RefusedEarly { kind, id, version }) => {
+            refuse_early(&router, kind, id.as_deref(), version)
+        }
     }
 }
 
@@ -49,35 +39,6 @@
     version: u64,
 }
 
-fn refuse_early(router: &Router, refused: RefusedEarly) -> Response<AnswerBody> {
-    let id = refused.id.as_deref();
-    log::info!(
-        target: "request",
-        "id={} config={} outcome={}",
-        id.unwrap_or("-"),
-        refused.version,
-        refused.kind.word(),
-    );
-    router.metrics.count_request(refused.kind.word(), 0.0);
-    let retry_after = retry_after(router, refused.kind);
-    let refusal = Refusal {
-        kind: refused.kind,
-        retry_after,
-    };
-    router.protocol.refuse(&refusal, id).map(AnswerBody::whole)
-}
-
-/// When a caller may come back whose request was refused early.
-fn retry_after(router: &Router, kind: RefusalKind) -> Option<Duration> {
-    match kind {
-        RefusalKind::NotReady if router.store_lost.get() => Some(OUTAGE_RETRY_AFTER),
-        RefusalKind::NotReady => Some(NOT_READY_RETRY_AFTER),
-        RefusalKind::Stopping if router.peers.borrow().any_serving() => Some(RETRY_AFTER),
-        RefusalKind::Stopping => Some(RETURN_TIME),
-        _ => None,
-    }
-}
-
 async fn admit(
     router: &Rc<Router>,
     started: Instant,
--- a/crates/stacktack-direct/src/exchange.rs
+++ b/crates/stacktack-direct/src/exchange.rs
@@ -13,11 +13,9 @@
 use stacktack_core::direct::route::{Route, Tenant};
 use tokio::time::timeout_at;
 
-use crate::admission::RETRY_AFTER;
-use crate::answer::{AnswerBody, StreamAnswer};
 use crate::attempt::{Attempt, AttemptEnd, StoredAnswer};
-use crate::held::{AnswerSource, HeldAnswer};
-use crate::ports::{CallerRequest, Refusal, RefusalKind};
+use crate::held::HeldAnswer;
+use crate::ports::{CallerRequest, RefusalKind};
 use crate::router::Router;
 
 /// How a request ended, for its log line and metrics.
@@ -44,6 +42,16 @@
     }
 }
 
+/// What can go to the caller.
+pub(crate) enum ExchangeEnd {
+    /// A back end's answer, and the attempt that it came from.
+    Answer(HeldAnswer, Attempt),
+    /// A back end's failure: nobody gave a better answer.
+    FailedAnswer(StoredAnswer),
+    /// Nobody gave an answer.
+    Refused(RefusalKind),
+}
+
 /// One caller's request.
 pub struct Exchange {
     pub(crate) router: Rc<Router>,
@@ -99,20 +107,16 @@
     }
 
     /// Sends the request until an answer can go to the caller.
-    pub(crate) async fn run(mut self: Box<Self>) -> Response<AnswerBody> {
+    pub(crate) async fn run(&mut self) -> ExchangeEnd {
         let limit = self.limit;
         match timeout_at(limit.into(), self.attempts()).await {
-            Ok(Ok((answer, attempt))) => self.pass_on(answer, attempt),
-            Ok(Err(last)) => self.give_up(last),
-            Err(_) => {
-                let sent = self.in_doubt || self.ledger.may_have_run;
-                let kind = if sent {
-                    RefusalKind::TimeOver
-                } else {
-                    RefusalKind::NoBackEnd
-                };
-                self.refuse(kind)
+            Ok(Ok((answer, attempt))) => ExchangeEnd::Answer(answer, attempt),
+            Ok(Err(Some(last))) => ExchangeEnd::FailedAnswer(last),
+            Ok(Err(None)) => ExchangeEnd::Refused(self.refusal_kind()),
+            Err(_) if self.in_doubt || self.ledger.may_have_run => {
+                ExchangeEnd::Refused(RefusalKind::TimeOver)
             }
+            Err(_) => ExchangeEnd::Refused(RefusalKind::NoBackEnd),
         }
     }
 
@@ -183,37 +187,9 @@
         }
     }
 
-    fn pass_on(mut self: Box<Self>, answer: HeldAnswer, attempt: Attempt) -> Response<AnswerBody> {
-        let seconds = self.started.elapsed().as_secs_f64();
-        self.router.metrics.record_first_byte(seconds);
-        let HeldAnswer { mut head, source } = answer;
-        head.headers = self.router.protocol.answer_headers(&head.headers);
-        let body = match source {
-            AnswerSource::Whole(bytes) => {
-                attempt.finish();
-                self.outcome = Outcome::Answered(head.status.as_u16());
-                AnswerBody::whole(bytes)
-            }
-            AnswerSource::Coming { begun, rest } => {
-                let status = head.status.as_u16();
-                let stream = StreamAnswer::new(self, begun, rest, attempt, status);
-                if stream.is_resumable() {
-                    head.headers.remove(hyper::header::CONTENT_LENGTH);
-                }
-                AnswerBody::stream(stream)
-            }
-        };
-        Response::from_parts(head, body)
-    }
-
-    fn give_up(mut self: Box<Self>, last: Option<StoredAnswer>) -> Response<AnswerBody> {
-        if let Some(stored) = last {
-            self.outcome = Outcome::Answered(stored.head.status.as_u16());
-            let mut head = stored.head;
-            head.headers = self.router.protocol.answer_headers(&head.headers);
-            return Response::from_parts(head, AnswerBody::whole(stored.body));
-        }
-        let kind = if self.ledger.may_have_run && Instant::now() >= self.limit {
+    /// Why nobody gave an answer.
+    pub(crate) fn refusal_kind(&self) -> RefusalKind {
+        if self.ledger.may_have_run && Instant::now() >= self.limit {
             RefusalKind::TimeOver
         } else if self.ledger.may_have_run {
             RefusalKind::Lost
@@ -221,18 +197,7 @@
             RefusalKind::Rejected
         } else {
             RefusalKind::NoBackEnd
-        };
-        self.refuse(kind)
-    }
-
-    fn refuse(&mut self, kind: RefusalKind) -> Response<AnswerBody> {
-        self.outcome = Outcome::Refused(kind);
-        let refusal = Refusal {
-            kind,
-            retry_after: kind.promises_not_run().then_some(RETRY_AFTER),
-        };
-        let response = self.router.protocol.refuse(&refusal, Some(&self.id));
-        response.map(AnswerBody::whole)
+        }
     }
 
     /// Continues a stream at another back end after an event; `None` when the
--- a/crates/stacktack-direct/src/lib.rs
+++ b/crates/stacktack-direct/src/lib.rs
@@ -10,7 +10,7 @@
 //! - [`app`]: start, signals, stop.
 //! - `server`: callers' connections. `connection`: back-end connections.
 //! - `admission`, `exchange`, `sending`, `choice`, `attempt`: one request from
-//!   head to end. `held`, `answer`: answers on their way to callers.
+//!   head to end. `held`, `respond`, `answer`: answers on their way to callers.
 //! - [`followers`]: configuration and directory. `news`: what routers tell each
 //!   other. [`router`]: state of the process.
 
@@ -27,6 +27,7 @@
 pub mod metrics;
 mod news;
 pub mod ports;
+mod respond;
 pub mod router;
 mod sending;
 mod server;
--- /dev/null
+++ b/crates/stacktack-direct/src/respond.rs
@@ -0,0 +1,109 @@
+//! Answers to callers: of back ends, and the router's own.
+
+use std::time::Duration;
+
+use hyper::Response;
+
+use crate::answer::{AnswerBody, StreamAnswer};
+use crate::attempt::{Attempt, StoredAnswer};
+use crate::exchange::{Exchange, ExchangeEnd, Outcome};
+use crate::held::{AnswerSource, HeldAnswer};
+use crate::ports::{Refusal, RefusalKind};
+use crate::router::Router;
+
+/// Time after which a caller may come back when nobody could take its request.
+const RETRY_AFTER: Duration = Duration::from_millis(150);
+
+/// Time after which a caller may come back while nothing is known yet.
+const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// Time after which a caller may come back while the store does not answer and
+/// nothing is known: outages last seconds.
+const OUTAGE_RETRY_AFTER: Duration = Duration::from_millis(2500);
+
+/// Time in which a stopped router is back, as a rule.
+const RETURN_TIME: Duration = Duration::from_millis(900);
+
+/// Runs a request and answers it.
+pub async fn respond(mut exchange: Box<Exchange>) -> Response<AnswerBody> {
+    match exchange.run().await {
+        ExchangeEnd::Answer(answer, attempt) => pass_on(exchange, answer, attempt),
+        ExchangeEnd::FailedAnswer(last) => pass_failure_on(&mut exchange, last),
+        ExchangeEnd::Refused(kind) => refuse(&mut exchange, kind),
+    }
+}
+
+fn pass_on(
+    mut exchange: Box<Exchange>,
+    answer: HeldAnswer,
+    attempt: Attempt,
+) -> Response<AnswerBody> {
+    let seconds = exchange.started.elapsed().as_secs_f64();
+    exchange.router.metrics.record_first_byte(seconds);
+    let HeldAnswer { mut head, source } = answer;
+    head.headers = exchange.router.protocol.answer_headers(&head.headers);
+    let body = match source {
+        AnswerSource::Whole(bytes) => {
+            attempt.finish();
+            exchange.outcome = Outcome::Answered(head.status.as_u16());
+            AnswerBody::whole(bytes)
+        }
+        AnswerSource::Coming { begun, rest } => {
+            let status = head.status.as_u16();
+            let stream = StreamAnswer::new(exchange, begun, rest, attempt, status);
+            if stream.is_resumable() {
+                head.headers.remove(hyper::header::CONTENT_LENGTH);
+            }
+            AnswerBody::stream(stream)
+        }
+    };
+    Response::from_parts(head, body)
+}
+
+fn pass_failure_on(exchange: &mut Exchange, last: StoredAnswer) -> Response<AnswerBody> {
+    exchange.outcome = Outcome::Answered(last.head.status.as_u16());
+    let mut head = last.head;
+    head.headers = exchange.router.protocol.answer_headers(&head.headers);
+    Response::from_parts(head, AnswerBody::whole(last.body))
+}
+
+fn refuse(exchange: &mut Exchange, kind: RefusalKind) -> Response<AnswerBody> {
+    exchange.outcome = Outcome::Refused(kind);
+    let retry_after = kind.promises_not_run().then_some(RETRY_AFTER);
+    let refusal = Refusal { kind, retry_after };
+    let response = exchange
+        .router
+        .protocol
+        .refuse(&refusal, Some(&exchange.id));
+    response.map(AnswerBody::whole)
+}
+
+/// Refuses a request that did not become an exchange.
+pub fn refuse_early(
+    router: &Router,
+    kind: RefusalKind,
+    id: Option<&str>,
+    version: u64,
+) -> Response<AnswerBody> {
+    log::info!(
+        target: "request",
+        "id={} config={version} outcome={}",
+        id.unwrap_or("-"),
+        kind.word(),
+    );
+    router.metrics.count_request(kind.word(), 0.0);
+    let retry_after = early_retry_after(router, kind);
+    let refusal = Refusal { kind, retry_after };
+    router.protocol.refuse(&refusal, id).map(AnswerBody::whole)
+}
+
+/// When a caller may come back whose request was refused early.
+fn early_retry_after(router: &Router, kind: RefusalKind) -> Option<Duration> {
+    match kind {
+        RefusalKind::NotReady if router.store_lost.get() => Some(OUTAGE_RETRY_AFTER),
+        RefusalKind::NotReady => Some(NOT_READY_RETRY_AFTER),
+        RefusalKind::Stopping if router.peers.borrow().any_serving() => Some(RETRY_AFTER),
+        RefusalKind::Stopping => Some(RETURN_TIME),
+        _ => None,
+    }
+}
