Listen again while stopping once nobody serves; answer late callers

A connection accepted while draining was closed before its request was read. Change: a draining router listens again while no peer serves; a connection that comes up then has 0.5 s for its request, which gets 503 and a time.

--- a/crates/stacktack-direct/src/server.rs
+++ b/crates/stacktack-direct/src/server.rs
@@ -26,6 +26,10 @@
 /// Pause after a failed accept, for descriptors to come free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Time that a connection has for its request when it came up while the router
+/// drains.
+const LATE_CALLER: Duration = Duration::from_millis(500);
+
 /// Time between looks at whether another router serves.
 const TAKE_OVER_LOOK: Duration = Duration::from_millis(50);
 
@@ -41,16 +45,33 @@
     socket.listen(BACKLOG)
 }
 
-/// Accepts callers until the process ends, and until others take them: then a
-/// refused connection sends a caller on at once, while an answer would cost it
-/// one of its tries. While nobody else serves, who comes is told so.
+/// Accepts callers until the process ends. While it drains and another router
+/// serves, its address is closed: a refused connection sends a caller on at
+/// once, while an answer would cost it one of its tries. While nobody serves, who
+/// comes is told so.
 pub async fn accept_callers(router: Rc<Router>, listener: TcpListener) {
+    let mut listener = listener;
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = others_take_over(&router) => return,
+        tokio::select! {
+            () = accept_from(&router, &listener) => {}
+            () = others_take_over(&router) => {}
+        }
+        drop(listener);
+        listener = loop {
+            nobody_serves(&router).await;
+            match listen(router.settings.callers) {
+                Ok(listener) => break listener,
+                Err(error) => log::warn!(target: "callers", "listening again failed: {error}"),
+            }
+            sleep(ACCEPT_PAUSE).await;
         };
-        match accepted {
+        log::info!(target: "callers", "listening=true cause=nobody_serves");
+    }
+}
+
+async fn accept_from(router: &Rc<Router>, listener: &TcpListener) {
+    loop {
+        match listener.accept().await {
             Ok((stream, _)) => {
                 actix_rt::spawn(serve_caller(router.clone(), stream));
             }
@@ -75,6 +96,14 @@
     while !router.peers.borrow().any_serving() {
         sleep(TAKE_OVER_LOOK).await;
     }
+    log::info!(target: "callers", "listening=false cause=others_serve");
+}
+
+/// Waits until no other router serves.
+async fn nobody_serves(router: &Router) {
+    while router.peers.borrow().any_serving() {
+        sleep(TAKE_OVER_LOOK).await;
+    }
 }
 
 /// Keeps the count of open connections.
@@ -146,11 +175,7 @@
         .max_buf_size(BUFFER_BYTES.max(limits.header_bytes + 1024))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
-    let mut phase = router.phase.subscribe();
-    let mut draining = phase
-        .wait_for(|phase| *phase == Phase::Draining)
-        .boxed_local()
-        .fuse();
+    let mut draining = time_to_close(&router).boxed_local().fuse();
     loop {
         tokio::select! {
             _ = connection.as_mut() => return,
@@ -165,6 +190,18 @@
     }
 }
 
+/// Waits until a connection closes for the router's end. One that came up while
+/// the router drains has a moment for a request, which is told when to come back.
+async fn time_to_close(router: &Router) {
+    let mut phase = router.phase.subscribe();
+    if *phase.borrow() == Phase::Draining {
+        sleep(LATE_CALLER).await;
+        return;
+    }
+    // An error means that the router is gone.
+    let _ = phase.wait_for(|phase| *phase == Phase::Draining).await;
+}
+
 /// Serves small answers by path and query: readiness, metrics, knowledge.
 pub async fn serve_small<F>(listener: TcpListener, answer: F)
 where
