--- a/crates/stacktack-core/src/direct/back_end.rs
+++ b/crates/stacktack-core/src/direct/back_end.rs
@@ -216,8 +216,9 @@
     }
 
     /// An answer began well, or an attempt ended with a failure of the back end.
-    /// Returns whether it is suspect from now on.
-    pub fn on_outcome(&mut self, failed: bool, now: Time) -> bool {
+    /// Returns whether it is suspect from now on, or no longer; `None` if that
+    /// did not change.
+    pub fn on_outcome(&mut self, failed: bool, now: Time) -> Option<bool> {
         let value = f64::from(u8::from(failed));
         self.failure_share += FAILURE_WEIGHT * (value - self.failure_share);
         if !failed {
@@ -226,7 +227,8 @@
         let before = self.suspicion.is_suspect();
         self.suspicion
             .on_outcome(failed, self.usual_failure_share, now);
-        self.suspicion.is_suspect() && !before
+        let after = self.suspicion.is_suspect();
+        (after != before).then_some(after)
     }
 
     /// Whether its failures make this router suspect it.
@@ -234,11 +236,14 @@
         self.suspicion.is_suspect()
     }
 
-    /// A peer's failures make it suspect the back end.
-    pub fn on_accused(&mut self, peer: SocketAddr, now: Time) {
+    /// A peer's failures make it suspect the back end. Returns whether enough
+    /// peers accuse it from now on.
+    pub fn on_accused(&mut self, peer: SocketAddr, now: Time) -> bool {
+        let before = self.is_accused(now);
         self.accusations
             .retain(|(accuser, at)| *accuser != peer && now.since(*at) < ACCUSATION_AGE);
         self.accusations.push((peer, now));
+        self.is_accused(now) && !before
     }
 
     /// Whether several peers accused it of late and nothing was seen here that
--- a/crates/stacktack-direct/src/attempt.rs
+++ b/crates/stacktack-direct/src/attempt.rs
@@ -103,19 +103,24 @@
 
     /// The answer began well.
     pub fn on_good_answer(&self) {
-        let now = self.router.now();
-        self.with_back_end(|back_end| {
-            back_end.on_outcome(false, now);
-        });
+        self.note_outcome(false);
     }
 
     /// The back end failed the request.
     pub fn on_failure(&self) {
+        self.note_outcome(true);
+    }
+
+    fn note_outcome(&self, failed: bool) {
         let now = self.router.now();
-        let mut suspect = false;
-        self.with_back_end(|back_end| suspect = back_end.on_outcome(true, now));
-        if suspect {
-            log::info!(target: "belief", "back_end={} suspect=true cause=failures", self.back_end);
+        let mut suspect = None;
+        self.with_back_end(|back_end| suspect = back_end.on_outcome(failed, now));
+        if let Some(suspect) = suspect {
+            log::info!(
+                target: "belief",
+                "back_end={} suspect={suspect} cause=own_outcomes",
+                self.back_end
+            );
         }
     }
 
--- a/crates/stacktack-direct/src/followers.rs
+++ b/crates/stacktack-direct/src/followers.rs
@@ -309,6 +309,16 @@
         held.renew(&entry.id, entry.revision);
         back_ends.upsert(entry, now, &mut change);
     }
+    if !steady {
+        for departure in &gone {
+            log::info!(
+                target: "directory",
+                "back_end={} now=missing held=true revision={}",
+                departure.id,
+                departure.revision
+            );
+        }
+    }
     for departure in held.vanish(gone, steady) {
         back_ends.remove(departure, &mut change);
     }
--- a/crates/stacktack-direct/src/router.rs
+++ b/crates/stacktack-direct/src/router.rs
@@ -167,7 +167,14 @@
         let mut back_ends = self.back_ends.borrow_mut();
         for back_end in back_ends.iter_mut() {
             if suspects.contains(&ShortId::of(back_end.id_hash)) {
-                back_end.on_accused(peer, now);
+                let accused = back_end.on_accused(peer, now);
+                if accused {
+                    log::info!(
+                        target: "belief",
+                        "back_end={} accused=true cause=peers last={peer}",
+                        back_end.entry.id
+                    );
+                }
             }
         }
     }
