Try a suspect with any request after a longer time

Found by reading the change: in a pool whose requests may run only once, one failure took a back end out for good, since only a repeatable request could clear it. Three seconds beyond the pause any request may try it, one at a time. Test: failed first (Degraded at 4 s), passes now.

--- a/crates/stacktack-core/src/direct/back_end.rs
+++ b/crates/stacktack-core/src/direct/back_end.rs
@@ -14,7 +14,7 @@
 
 use crate::configuration::selector::Labels;
 use crate::direct::peers::ShortId;
-use crate::direct::suspicion::Suspicion;
+use crate::direct::suspicion::{RequestRisk, Suspicion};
 use crate::time::Time;
 
 /// Connections in a row that failed before a back end is passed by.
@@ -295,12 +295,9 @@
         Standing::Good
     }
 
-    /// Whether a suspect may get this request: one at a time, and none whose
-    /// failure is final.
+    /// Whether a suspect may get this request: one at a time.
     fn may_be_tried(&self, now: Time, request: RequestRisk) -> bool {
-        request == RequestRisk::Repeatable
-            && self.in_flight == 0
-            && self.suspicion.may_be_tried(now)
+        self.in_flight == 0 && self.suspicion.may_be_tried(now, request)
     }
 
     fn is_slow(&self, pool: &PoolMeans) -> bool {
@@ -311,15 +308,6 @@
     }
 }
 
-/// What a failure costs a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RequestRisk {
-    /// It can be sent to another back end.
-    Repeatable,
-    /// It is final.
-    Final,
-}
-
 struct PoolMeans {
     /// Failure share of the middle member.
     failure_share: f64,
--- a/crates/stacktack-core/src/direct/suspicion.rs
+++ b/crates/stacktack-core/src/direct/suspicion.rs
@@ -7,7 +7,7 @@
 //! where they are usual it takes several.
 //!
 //! A suspect is passed by for a while, longer each time. Then it gets one
-//! request at a time, and only such as may be repeated elsewhere.
+//! request at a time, at first only such as may be repeated elsewhere.
 
 use std::time::Duration;
 
@@ -30,6 +30,19 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(1000);
 const LONGEST_PAUSE: Duration = Duration::from_secs(4);
 
+/// Time beyond that pause in which a suspect gets no request whose failure would
+/// be final.
+const FINAL_REQUEST_PAUSE: Duration = Duration::from_secs(3);
+
+/// What a failure costs a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestRisk {
+    /// It can be sent to another back end.
+    Repeatable,
+    /// It is final.
+    Final,
+}
+
 /// What outcomes say of one back end.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Suspicion {
@@ -66,8 +79,13 @@
         self.score >= SUSPECT
     }
 
-    /// Whether a suspect may get a request again, to see whether it still fails.
-    pub fn may_be_tried(&self, now: Time) -> bool {
-        now >= self.until
+    /// Whether a suspect may get a request again, to see whether it still fails:
+    /// first one that may be repeated elsewhere, and after a longer time any.
+    pub fn may_be_tried(&self, now: Time, request: RequestRisk) -> bool {
+        let more = match request {
+            RequestRisk::Repeatable => Duration::ZERO,
+            RequestRisk::Final => FINAL_REQUEST_PAUSE,
+        };
+        now >= self.until + more
     }
 }
--- a/crates/stacktack-core/tests/direct.rs
+++ b/crates/stacktack-core/tests/direct.rs
@@ -9,7 +9,7 @@
 use stacktack_core::configuration::selector::{Labels, Requirement};
 use stacktack_core::direct::attempt::{AttemptFailure, AttemptLedger};
 use stacktack_core::direct::back_end::{
-    BackEndEntry, BackEnds, Departure, DirectoryChange, RequestRisk, Standing,
+    BackEndEntry, BackEnds, Departure, DirectoryChange, Standing,
 };
 use stacktack_core::direct::budget::{BudgetBound, SharedRetryBudget};
 use stacktack_core::direct::events::EventSplitter;
@@ -21,6 +21,7 @@
 use stacktack_core::direct::select::{
     likely_holder, select_by_affinity, select_by_load, DirectCandidate, SelectBounds,
 };
+use stacktack_core::direct::suspicion::RequestRisk;
 use stacktack_core::time::Time;
 
 const SECOND: Duration = Duration::from_secs(1);
--- a/crates/stacktack-core/tests/suspicion.rs
+++ b/crates/stacktack-core/tests/suspicion.rs
@@ -4,10 +4,8 @@
 use std::net::SocketAddr;
 
 use stacktack_core::configuration::selector::Labels;
-use stacktack_core::direct::back_end::{
-    BackEndEntry, BackEnds, DirectoryChange, RequestRisk, Standing,
-};
-use stacktack_core::direct::suspicion::Suspicion;
+use stacktack_core::direct::back_end::{BackEndEntry, BackEnds, DirectoryChange, Standing};
+use stacktack_core::direct::suspicion::{RequestRisk, Suspicion};
 use stacktack_core::time::Time;
 
 const RARE: f64 = 0.0;
@@ -42,17 +40,20 @@
 #[test]
 fn a_suspect_is_passed_by_for_longer_each_time_until_it_is_cleared() {
     let mut suspicion = after(&[true], RARE);
-    assert!(!suspicion.may_be_tried(at(900)));
-    assert!(suspicion.may_be_tried(at(1000)));
+    assert!(!suspicion.may_be_tried(at(900), RequestRisk::Repeatable));
+    assert!(suspicion.may_be_tried(at(1000), RequestRisk::Repeatable));
     suspicion.on_outcome(true, RARE, at(1000));
-    assert!(!suspicion.may_be_tried(at(2900)));
-    assert!(suspicion.may_be_tried(at(3000)));
+    assert!(!suspicion.may_be_tried(at(2900), RequestRisk::Repeatable));
+    assert!(suspicion.may_be_tried(at(3000), RequestRisk::Repeatable));
     for _ in 0..2 {
         suspicion.on_outcome(false, RARE, at(3000));
     }
     assert!(!suspicion.is_suspect());
     suspicion.on_outcome(true, RARE, at(9000));
-    assert!(suspicion.may_be_tried(at(10_000)), "the first pause again");
+    assert!(
+        suspicion.may_be_tried(at(10_000), RequestRisk::Repeatable),
+        "the first pause again"
+    );
 }
 
 fn pool(size: usize) -> BackEnds {
@@ -107,6 +108,19 @@
     );
 }
 
+/// Found by reading: where no request may be repeated, one failure took a back end
+/// out for good.
+#[test]
+fn a_suspect_is_tried_with_any_request_after_a_longer_time() {
+    let mut all = pool(6);
+    all.get_mut("b0").expect("known").on_outcome(true, at(0));
+    let risk = RequestRisk::Final;
+    assert_eq!(standing(&mut all, "b0", at(3900), risk), Standing::Degraded);
+    assert_eq!(standing(&mut all, "b0", at(4000), risk), Standing::Good);
+    all.get_mut("b0").expect("known").on_send(at(4000));
+    assert_eq!(standing(&mut all, "b0", at(4100), risk), Standing::Degraded);
+}
+
 fn accuse(all: &mut BackEnds, id: &str, peers: &[u8], now: Time) {
     for peer in peers {
         let peer = SocketAddr::from(([127, 0, 0, *peer], 9));
--- a/crates/stacktack-direct/src/choice.rs
+++ b/crates/stacktack-direct/src/choice.rs
@@ -5,11 +5,12 @@
 
 use rand::Rng;
 use stacktack_core::configuration::selector::matches_all;
-use stacktack_core::direct::back_end::{RequestRisk, Standing};
+use stacktack_core::direct::back_end::Standing;
 use stacktack_core::direct::peers::ShortId;
 use stacktack_core::direct::select::{
     likely_holder, select_by_affinity, select_by_load, SelectBounds, Selection,
 };
+use stacktack_core::direct::suspicion::RequestRisk;
 
 use crate::exchange::Exchange;
 
