Ask for a newer configuration also while the directory is behind

Found by reading: a router that the store refuses asked one peer a round, the one with the newer directory, so that steady changes of the directory could hold up a newer configuration known to another peer. Both are asked, as before the directory was handed on by changes.

--- a/crates/stacktack-direct/src/news.rs
+++ b/crates/stacktack-direct/src/news.rs
@@ -163,7 +163,9 @@
             .with_newer_directory(router.directory_changed.get());
         let patience = directory_patience(&router, &store);
         let ask_directory = directory.whom_to_ask(newer, patience, now);
-        if let Some(peer) = ask_directory.or(ask_configuration) {
+        // One answer holds both; two are needed only from different peers.
+        let other = ask_configuration.filter(|peer| ask_directory != Some(*peer));
+        for peer in ask_directory.into_iter().chain(other) {
             fetch(&router, peer).await;
         }
     }
