--- a/crates/stacktack-core/src/direct/back_end.rs
+++ b/crates/stacktack-core/src/direct/back_end.rs
@@ -523,12 +523,13 @@
             .collect()
     }
 
-    /// Short ids of members that this router suspects or that are silent, at
-    /// most `most`.
-    pub fn suspects(&self, now: Time, most: usize) -> Vec<ShortId> {
+    /// Short ids of members that this router suspects, at most `most`. Silence is
+    /// not told: where many requests wait it comes and goes, and a fleet that
+    /// passes by a back end all at once overloads the next ones.
+    pub fn suspects(&self, most: usize) -> Vec<ShortId> {
         self.members
             .values()
-            .filter(|member| member.is_suspect() || member.is_silent(now))
+            .filter(|member| member.is_suspect())
             .map(|member| ShortId::of(member.id_hash))
             .take(most)
             .collect()
--- a/crates/stacktack-core/tests/suspicion.rs
+++ b/crates/stacktack-core/tests/suspicion.rs
@@ -140,10 +140,7 @@
     );
     accuse(&mut all, "b0", &[2], at(0));
     assert_eq!(standing(&mut all, "b0", at(100), risk), Standing::Degraded);
-    assert!(
-        all.suspects(at(100), 9).is_empty(),
-        "hearsay is not told on"
-    );
+    assert!(all.suspects(9).is_empty(), "hearsay is not told on");
     assert_eq!(standing(&mut all, "b0", at(1600), risk), Standing::Good);
     accuse(&mut all, "b0", &[1, 2], at(2000));
     let member = all.get_mut("b0").expect("known");
@@ -162,12 +159,12 @@
     assert_eq!(standing(&mut all, "b0", at(100), risk), Standing::Good);
 }
 
+/// Found by a hunted day: the whole fleet passed by busy back ends at once, and
+/// the next ones were loaded above the bound.
 #[test]
-fn silence_is_told_too() {
+fn silence_is_not_told() {
     let mut all = pool(3);
     all.get_mut("b0").expect("known").on_send(at(0));
-    assert!(all.suspects(at(400), 9).is_empty());
-    assert_eq!(all.suspects(at(500), 9).len(), 1);
-    all.get_mut("b0").expect("known").on_bytes(at(500));
-    assert!(all.suspects(at(600), 9).is_empty());
+    assert!(all.get("b0").expect("known").is_silent(at(500)));
+    assert!(all.suspects(9).is_empty());
 }
--- a/crates/stacktack-direct/src/news.rs
+++ b/crates/stacktack-direct/src/news.rs
@@ -198,10 +198,7 @@
                 (ShortId::of(back_end.id_hash), load)
             })
             .collect(),
-        suspects: router
-            .back_ends
-            .borrow()
-            .suspects(router.now(), SUSPECTS_TOLD),
+        suspects: router.back_ends.borrow().suspects(SUSPECTS_TOLD),
     };
     let now = router.now();
     let outgoing = router.peers.borrow_mut().tick(&own, now);
