Part the process tests by job

platform/tests/processes.rs (665 lines) and the lab's (568) are folders now, each still one test program: answers, attempts, beliefs, signals, logs; callers, failures, stops, keys; and what the tests share.

--- /dev/null
+++ b/crates/stacktack-lab/tests/processes/fixture.rs
@@ -0,0 +1,113 @@
+//! Fleets and calls that the tests share.
+
+use std::future::Future;
+
+use stacktack_lab::caller::{Caller, Chat, ExpectedAnswers, Reply};
+use stacktack_lab::error::LabError;
+use stacktack_lab::fleet::{
+    read_json, tenant_key, wait_until, Fleet, FleetPlan, FleetProcess, MODEL, SERVICE,
+};
+use stacktack_node::client::PlatformClient;
+
+/// Tokens of an answer that is still running when something happens to it.
+pub const LONG_ANSWER: u32 = 150;
+
+/// Runs a test on the house's runtime.
+pub fn run<F: Future<Output = Result<(), LabError>>>(test: F) {
+    let result = actix_rt::System::new().block_on(test);
+    if let Err(error) = result {
+        panic!("{error}");
+    }
+}
+
+/// One router before one engine.
+pub fn small_fleet() -> FleetPlan {
+    FleetPlan {
+        routers: 1,
+        engines: 1,
+        services: 0,
+        ..FleetPlan::default()
+    }
+}
+
+/// Posts an operator's order, which has to be taken.
+pub async fn post(process: &FleetProcess, path: &str, body: &str) -> Result<(), LabError> {
+    let client = PlatformClient::new(process.operator);
+    let bytes = body.as_bytes().to_vec();
+    let (status, _) = client.exchange("POST", path, Some(bytes)).await?;
+    assert!(status.is_success(), "{path} {body}: {status}");
+    Ok(())
+}
+
+/// Waits until an engine has generated tokens.
+pub async fn wait_generated(engine: &FleetProcess, tokens: u64) -> Result<(), LabError> {
+    wait_until(engine, "/observed", |observed| {
+        observed["generated_tokens"].as_u64() >= Some(tokens)
+    })
+    .await
+}
+
+/// Starts a long streamed answer; returns its expected text and its reply.
+pub fn start_long(
+    router: &FleetProcess,
+    id: &str,
+    headers: &'static [(&'static str, &'static str)],
+) -> Result<
+    (
+        ExpectedAnswers,
+        actix_rt::task::JoinHandle<Result<Reply, LabError>>,
+    ),
+    LabError,
+> {
+    let mut chat = Chat::new(id.to_string(), String::from("tenant-1"), 40);
+    chat.ask("tell me all");
+    let body = chat.body(MODEL, true, LONG_ANSWER);
+    let expected = ExpectedAnswers::of(&body)?;
+    let caller = Caller::new(router.address);
+    let task = actix_rt::spawn(async move {
+        let key = tenant_key("tenant-1");
+        caller.complete(&chat, &key, body, headers).await
+    });
+    Ok((expected, task))
+}
+
+/// The reply that a task waits for.
+pub async fn finished(
+    task: actix_rt::task::JoinHandle<Result<Reply, LabError>>,
+) -> Result<Reply, LabError> {
+    task.await
+        .map_err(|error| LabError::Request(error.to_string()))?
+}
+
+/// A fleet with one router and two services.
+/// A fleet before plain services.
+pub fn service_fleet() -> FleetPlan {
+    FleetPlan {
+        routers: 1,
+        engines: 0,
+        services: 2,
+        ..FleetPlan::default()
+    }
+}
+
+/// Calls that the fleet's services really ran.
+/// Runs that the service counted.
+pub async fn service_runs(fleet: &Fleet) -> Result<u64, LabError> {
+    let mut runs = 0;
+    for service in &fleet.services {
+        let observed = read_json(service, "/observed").await?;
+        runs += observed["calls"].as_u64().unwrap_or(0);
+    }
+    Ok(runs)
+}
+
+/// One keyed call.
+pub async fn call_once(fleet: &Fleet, key: &str) -> Result<Reply, LabError> {
+    let caller = Caller::new(fleet.routers[0].address);
+    let path = format!("/services/{SERVICE}/entries");
+    let headers = [("idempotency-key", key)];
+    let tenant = tenant_key("tenant-1");
+    caller
+        .call_service("POST", &path, &tenant, &headers, String::from("entry"))
+        .await
+}
