Simplify what a second reading of the whole change found

- Three places doubled a pause by hand: retry::doubled serves them (the bound of doublings differed, 8 and 16; every result was at its maximum from 4 on).
- back_end.rs (537 lines) is parted: directory (entries and changes), back_end (beliefs of one), back_ends (all of them).
BackEnds::ids was dead.
- A whole directory was compared with what is known twice, at each start and re-read; take_delta compares once and is told the revision it was read at.
- Each entry was looked up among up to 1,024 departures; only one that is not known needs that, since a known one is newer than its departure.

--- a/crates/stacktack-core/src/direct/back_end.rs
+++ b/crates/stacktack-core/src/direct/back_end.rs
@@ -5,16 +5,14 @@
 //! not come up. No probe is sent. A bad standing only lowers preference: when
 //! every candidate stands badly, the best of them is still used.
 
-use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::configuration::selector::Labels;
-use crate::direct::peers::ShortId;
+use crate::direct::directory::BackEndEntry;
 use crate::direct::suspicion::{RequestRisk, Suspicion};
+use crate::retry::doubled;
 use crate::time::Time;
 
 /// Connections in a row that failed before a back end is passed by.
@@ -80,48 +78,6 @@
     }
 }
 
-/// A back end as the directory describes it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct BackEndEntry {
-    /// Unique id of this life of the back end.
-    pub id: String,
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Labels; pools are conditions on them.
-    pub labels: Labels,
-    /// Requests that it runs at once.
-    pub slots: u32,
-    /// Whether it takes no new work.
-    pub leaving: bool,
-    /// Revision of the directory at which the entry last changed.
-    pub revision: u64,
-}
-
-/// An entry that left the directory.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Departure {
-    /// Id of the back end.
-    pub id: String,
-    /// Revision of the directory at which it left, or by which it had left.
-    pub revision: u64,
-}
-
-/// What changed in the directory after some revision.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct DirectoryDelta {
-    /// Revision up to which the news is complete.
-    pub revision: u64,
-    /// Whether `present` is the whole directory.
-    pub whole: bool,
-    /// Entries that are new or changed.
-    pub present: Vec<BackEndEntry>,
-    /// Entries that left.
-    pub gone: Vec<Departure>,
-}
-
-/// Label that names a back end's zone.
-pub const ZONE_LABEL: &str = "zone";
-
 /// A back end and what is believed of it.
 #[derive(Clone, Debug)]
 pub struct BackEnd {
@@ -150,7 +106,8 @@
 }
 
 impl BackEnd {
-    fn new(entry: BackEndEntry, now: Time) -> Self {
+    /// A back end of which nothing is known yet.
+    pub fn new(entry: BackEndEntry, now: Time) -> Self {
         let id_hash = xxh3_64(entry.id.as_bytes());
         BackEnd {
             entry,
@@ -267,11 +224,8 @@
         if self.failures_in_a_row < FAILURES_TO_EJECT {
             return false;
         }
-        let doublings = (self.failures_in_a_row - FAILURES_TO_EJECT).min(8);
-        let span = FIRST_EJECTION
-            .saturating_mul(1 << doublings)
-            .min(LONGEST_EJECTION);
-        self.ejected_until = Some(now + span);
+        let doublings = self.failures_in_a_row - FAILURES_TO_EJECT;
+        self.ejected_until = Some(now + doubled(FIRST_EJECTION, doublings, LONGEST_EJECTION));
         true
     }
 
@@ -280,6 +234,7 @@
         self.in_flight > 0 && now.since(self.silent_since) > SILENCE
     }
 
+    /// How well it stands for a request, among the members of its pool.
     fn standing(&self, now: Time, pool: &PoolMeans, request: RequestRisk) -> Standing {
         let ejected = self.ejected_until.is_some_and(|until| now < until);
         if ejected || self.is_silent(now) {
@@ -308,6 +263,25 @@
     }
 }
 
+/// The members of a pool, each with its standing for a request.
+pub fn standings(
+    mut members: Vec<&mut BackEnd>,
+    now: Time,
+    request: RequestRisk,
+) -> Vec<(&BackEnd, Standing)> {
+    let means = PoolMeans::of(&members, now);
+    for member in &mut members {
+        member.usual_failure_share = means.failure_share;
+    }
+    members
+        .into_iter()
+        .map(|member| {
+            let standing = member.standing(now, &means, request);
+            (&*member, standing)
+        })
+        .collect()
+}
+
 struct PoolMeans {
     /// Failure share of the middle member.
     failure_share: f64,
@@ -344,194 +318,3 @@
     let (_, middle, _) = values.select_nth_unstable_by(index, f64::total_cmp);
     Some(*middle)
 }
-
-/// What changed with a new list of the directory.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct DirectoryChange {
-    /// Ids that were not known before.
-    pub joined: Vec<String>,
-    /// Ids that take no new work from now on.
-    pub leaving: Vec<String>,
-    /// Ids that are gone.
-    pub gone: Vec<String>,
-}
-
-/// Departures that are remembered, to tell peers what changed.
-const MAXIMUM_DEPARTURES: usize = 1024;
-
-/// All back ends that a router knows.
-#[derive(Clone, Debug, Default)]
-pub struct BackEnds {
-    members: HashMap<String, BackEnd>,
-    /// Departures after [`BackEnds::known_from`], the oldest first.
-    departures: VecDeque<Departure>,
-    /// Revision from which on every departure is remembered; `None` while no
-    /// whole directory was taken.
-    known_from: Option<u64>,
-}
-
-impl BackEnds {
-    /// Takes one entry of the directory, unless something newer is known of it.
-    pub fn upsert(&mut self, entry: BackEndEntry, now: Time, change: &mut DirectoryChange) {
-        if self.left_after(&entry) {
-            return;
-        }
-        match self.members.get_mut(&entry.id) {
-            Some(known) if known.entry.revision > entry.revision => {}
-            Some(known) => {
-                if entry.leaving && !known.entry.leaving {
-                    change.leaving.push(entry.id.clone());
-                }
-                known.entry = entry;
-            }
-            None => {
-                change.joined.push(entry.id.clone());
-                self.members
-                    .insert(entry.id.clone(), BackEnd::new(entry, now));
-            }
-        }
-    }
-
-    fn left_after(&self, entry: &BackEndEntry) -> bool {
-        self.departures
-            .iter()
-            .any(|departure| departure.id == entry.id && departure.revision >= entry.revision)
-    }
-
-    /// The directory no longer lists a back end, unless something newer is known
-    /// of it.
-    pub fn remove(&mut self, departure: Departure, change: &mut DirectoryChange) {
-        let known = self.members.get(&departure.id);
-        if known.is_none_or(|known| known.entry.revision > departure.revision) {
-            return;
-        }
-        self.members.remove(&departure.id);
-        change.gone.push(departure.id.clone());
-        self.departures.push_back(departure);
-        if self.departures.len() > MAXIMUM_DEPARTURES {
-            let oldest = self.departures.pop_front();
-            let forgotten = oldest.map(|departure| departure.revision);
-            self.known_from = self.known_from.max(forgotten);
-        }
-    }
-
-    /// Members that a whole directory as of a revision does not list.
-    pub fn missing_from(&self, listed: &[BackEndEntry], revision: u64) -> Vec<Departure> {
-        let listed: HashSet<&str> = listed.iter().map(|entry| entry.id.as_str()).collect();
-        self.members
-            .keys()
-            .filter(|id| !listed.contains(id.as_str()))
-            .map(|id| Departure {
-                id: id.clone(),
-                revision,
-            })
-            .collect()
-    }
-
-    /// A whole directory as of a revision was taken.
-    pub fn on_whole(&mut self, revision: u64) {
-        self.known_from.get_or_insert(revision);
-    }
-
-    /// What changed after a revision, as of `revision`; everything if not every
-    /// departure since then is remembered.
-    pub fn changes_after(&self, after: u64, revision: u64) -> DirectoryDelta {
-        let whole = self.known_from.is_none_or(|known_from| after < known_from);
-        let changed = |at: u64| whole || at > after;
-        DirectoryDelta {
-            revision,
-            whole,
-            present: self
-                .members
-                .values()
-                .filter(|member| changed(member.entry.revision))
-                .map(|member| member.entry.clone())
-                .collect(),
-            gone: self
-                .departures
-                .iter()
-                .filter(|departure| changed(departure.revision))
-                .cloned()
-                .collect(),
-        }
-    }
-
-    /// Ids of all back ends.
-    pub fn ids(&self) -> impl Iterator<Item = &str> {
-        self.members.keys().map(String::as_str)
-    }
-
-    /// A back end.
-    pub fn get(&self, id: &str) -> Option<&BackEnd> {
-        self.members.get(id)
-    }
-
-    /// A back end, to change what is believed of it.
-    pub fn get_mut(&mut self, id: &str) -> Option<&mut BackEnd> {
-        self.members.get_mut(id)
-    }
-
-    /// The back end that a short id stands for.
-    pub fn id_of(&self, short: ShortId) -> Option<&str> {
-        self.members
-            .values()
-            .find(|member| ShortId::of(member.id_hash) == short)
-            .map(|member| member.entry.id.as_str())
-    }
-
-    /// All back ends.
-    pub fn iter(&self) -> impl Iterator<Item = &BackEnd> {
-        self.members.values()
-    }
-
-    /// All back ends, to change what is believed of them.
-    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut BackEnd> {
-        self.members.values_mut()
-    }
-
-    /// Number of back ends that take new work.
-    pub fn working(&self) -> usize {
-        self.members
-            .values()
-            .filter(|member| !member.entry.leaving)
-            .count()
-    }
-
-    /// Members that take new work and meet the test, each with its standing for
-    /// a request.
-    pub fn pool(
-        &mut self,
-        now: Time,
-        request: RequestRisk,
-        meets: impl Fn(&BackEndEntry) -> bool,
-    ) -> Vec<(&BackEnd, Standing)> {
-        let mut members: Vec<&mut BackEnd> = self
-            .members
-            .values_mut()
-            .filter(|member| !member.entry.leaving && meets(&member.entry))
-            .collect();
-        let means = PoolMeans::of(&members, now);
-        for member in &mut members {
-            member.usual_failure_share = means.failure_share;
-        }
-        members
-            .into_iter()
-            .map(|member| {
-                let standing = member.standing(now, &means, request);
-                (&*member, standing)
-            })
-            .collect()
-    }
-
-    /// Short ids of members that this router suspects, at most `most`. Silence is
-    /// not told: where many requests wait it comes and goes, and a fleet that
-    /// passes by a back end all at once overloads the next ones.
-    pub fn suspects(&self, most: usize) -> Vec<ShortId> {
-        self.members
-            .values()
-            .filter(|member| member.is_suspect())
-            .map(|member| ShortId::of(member.id_hash))
-            .take(most)
-            .collect()
-    }
-}
--- /dev/null
+++ b/crates/stacktack-core/src/direct/back_ends.rs
@@ -0,0 +1,176 @@
+//! All back ends that a router knows, and what changed among them of late.
+
+use std::collections::{HashMap, HashSet, VecDeque};
+
+use crate::direct::back_end::{standings, BackEnd, Standing};
+use crate::direct::directory::{BackEndEntry, Departure, DirectoryChange, DirectoryDelta};
+use crate::direct::peers::ShortId;
+use crate::direct::suspicion::RequestRisk;
+use crate::time::Time;
+
+/// Departures that are remembered, to tell peers what changed.
+const MAXIMUM_DEPARTURES: usize = 1024;
+
+/// All back ends that a router knows.
+#[derive(Clone, Debug, Default)]
+pub struct BackEnds {
+    members: HashMap<String, BackEnd>,
+    /// Departures after [`BackEnds::known_from`], the oldest first.
+    departures: VecDeque<Departure>,
+    /// Revision from which on every departure is remembered; `None` while no
+    /// whole directory was taken.
+    known_from: Option<u64>,
+}
+
+impl BackEnds {
+    /// Takes one entry of the directory, unless something newer is known of it.
+    pub fn upsert(&mut self, entry: BackEndEntry, now: Time, change: &mut DirectoryChange) {
+        match self.members.get_mut(&entry.id) {
+            Some(known) if known.entry.revision > entry.revision => {}
+            Some(known) => {
+                if entry.leaving && !known.entry.leaving {
+                    change.leaving.push(entry.id.clone());
+                }
+                known.entry = entry;
+            }
+            None => self.join(entry, now, change),
+        }
+    }
+
+    fn join(&mut self, entry: BackEndEntry, now: Time, change: &mut DirectoryChange) {
+        if self.left_after(&entry) {
+            return;
+        }
+        change.joined.push(entry.id.clone());
+        self.members
+            .insert(entry.id.clone(), BackEnd::new(entry, now));
+    }
+
+    fn left_after(&self, entry: &BackEndEntry) -> bool {
+        self.departures
+            .iter()
+            .any(|departure| departure.id == entry.id && departure.revision >= entry.revision)
+    }
+
+    /// The directory no longer lists a back end, unless something newer is known
+    /// of it.
+    pub fn remove(&mut self, departure: Departure, change: &mut DirectoryChange) {
+        let known = self.members.get(&departure.id);
+        if known.is_none_or(|known| known.entry.revision > departure.revision) {
+            return;
+        }
+        self.members.remove(&departure.id);
+        change.gone.push(departure.id.clone());
+        self.departures.push_back(departure);
+        if self.departures.len() > MAXIMUM_DEPARTURES {
+            let oldest = self.departures.pop_front();
+            let forgotten = oldest.map(|departure| departure.revision);
+            self.known_from = self.known_from.max(forgotten);
+        }
+    }
+
+    /// Members that a whole directory as of a revision does not list.
+    pub fn missing_from(&self, listed: &[BackEndEntry], revision: u64) -> Vec<Departure> {
+        let listed: HashSet<&str> = listed.iter().map(|entry| entry.id.as_str()).collect();
+        self.members
+            .keys()
+            .filter(|id| !listed.contains(id.as_str()))
+            .map(|id| Departure {
+                id: id.clone(),
+                revision,
+            })
+            .collect()
+    }
+
+    /// A whole directory as of a revision was taken.
+    pub fn on_whole(&mut self, revision: u64) {
+        self.known_from.get_or_insert(revision);
+    }
+
+    /// What changed after a revision, as of `revision`; everything if not every
+    /// departure since then is remembered.
+    pub fn changes_after(&self, after: u64, revision: u64) -> DirectoryDelta {
+        let whole = self.known_from.is_none_or(|known_from| after < known_from);
+        let changed = |at: u64| whole || at > after;
+        DirectoryDelta {
+            revision,
+            whole,
+            present: self
+                .members
+                .values()
+                .filter(|member| changed(member.entry.revision))
+                .map(|member| member.entry.clone())
+                .collect(),
+            gone: self
+                .departures
+                .iter()
+                .filter(|departure| changed(departure.revision))
+                .cloned()
+                .collect(),
+        }
+    }
+
+    /// A back end.
+    pub fn get(&self, id: &str) -> Option<&BackEnd> {
+        self.members.get(id)
+    }
+
+    /// A back end, to change what is believed of it.
+    pub fn get_mut(&mut self, id: &str) -> Option<&mut BackEnd> {
+        self.members.get_mut(id)
+    }
+
+    /// The back end that a short id stands for.
+    pub fn id_of(&self, short: ShortId) -> Option<&str> {
+        self.members
+            .values()
+            .find(|member| ShortId::of(member.id_hash) == short)
+            .map(|member| member.entry.id.as_str())
+    }
+
+    /// All back ends.
+    pub fn iter(&self) -> impl Iterator<Item = &BackEnd> {
+        self.members.values()
+    }
+
+    /// All back ends, to change what is believed of them.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut BackEnd> {
+        self.members.values_mut()
+    }
+
+    /// Number of back ends that take new work.
+    pub fn working(&self) -> usize {
+        self.members
+            .values()
+            .filter(|member| !member.entry.leaving)
+            .count()
+    }
+
+    /// Members that take new work and meet the test, each with its standing for
+    /// a request.
+    pub fn pool(
+        &mut self,
+        now: Time,
+        request: RequestRisk,
+        meets: impl Fn(&BackEndEntry) -> bool,
+    ) -> Vec<(&BackEnd, Standing)> {
+        let members = self
+            .members
+            .values_mut()
+            .filter(|member| !member.entry.leaving && meets(&member.entry))
+            .collect();
+        standings(members, now, request)
+    }
+
+    /// Short ids of members that this router suspects, at most `most`. Silence is
+    /// not told: where many requests wait it comes and goes, and a fleet that
+    /// passes by a back end all at once overloads the next ones.
+    pub fn suspects(&self, most: usize) -> Vec<ShortId> {
+        self.members
+            .values()
+            .filter(|member| member.is_suspect())
+            .map(|member| ShortId::of(member.id_hash))
+            .take(most)
+            .collect()
+    }
+}
--- a/crates/stacktack-core/src/direct/departure.rs
+++ b/crates/stacktack-core/src/direct/departure.rs
@@ -11,7 +11,7 @@
 use serde::Deserialize;
 
 use crate::chart::{Chart, ChartError};
-use crate::direct::back_end::Departure;
+use crate::direct::directory::Departure;
 use crate::time::Time;
 
 /// Time after the store's return in which entries renew themselves.
--- a/crates/stacktack-core/src/direct/mod.rs
+++ b/crates/stacktack-core/src/direct/mod.rs
@@ -8,7 +8,8 @@
 //! - [`places`]: where prompt parts were last read.
 //! - [`route`]: routes, keys and limits: the traffic configuration.
 //! - [`prompt`]: the chain of prompt parts that a request announces.
-//! - [`back_end`]: what the router believes of each back end.
+//! - [`directory`]: who the back ends are. [`back_end`]: what the router believes
+//!   of one; [`back_ends`]: of all.
 //! - [`departure`]: when a back end that vanished from the directory is gone.
 //! - [`select`]: choice of a back end, a pure function over a snapshot.
 //! - [`suspicion`]: whether a back end fails more often than its pool.
@@ -18,8 +19,10 @@
 
 pub mod attempt;
 pub mod back_end;
+pub mod back_ends;
 pub mod budget;
 pub mod departure;
+pub mod directory;
 pub mod events;
 pub mod peers;
 pub mod places;
--- a/crates/stacktack-core/src/direct/suspicion.rs
+++ b/crates/stacktack-core/src/direct/suspicion.rs
@@ -11,6 +11,7 @@
 
 use std::time::Duration;
 
+use crate::retry::doubled;
 use crate::time::Time;
 
 /// Failure share that is assumed of a failing back end.
@@ -66,11 +67,8 @@
         if !self.is_suspect() {
             self.failures = 0;
         } else if failed {
-            let pause = FIRST_PAUSE
-                .saturating_mul(1 << self.failures.min(8))
-                .min(LONGEST_PAUSE);
+            self.until = now + doubled(FIRST_PAUSE, self.failures, LONGEST_PAUSE);
             self.failures += 1;
-            self.until = now + pause;
         }
     }
 
--- a/crates/stacktack-core/src/gate/messages.rs
+++ b/crates/stacktack-core/src/gate/messages.rs
@@ -144,23 +144,19 @@
         outputs: &mut Vec<GateOutput>,
     ) {
         let seen = self.attempts.contains_key(&attempt);
-        if incarnation != self.incarnation && !seen {
-            outputs.push(GateOutput::ToRouter {
-                connection,
-                message: ToRouter::FateOf {
-                    attempt,
-                    fate: Fate::Unknown,
-                },
-            });
-            return;
-        }
-        if !seen && !self.protections.hold(Rule::Tombstone) {
+        let known = if seen {
+            None
+        } else if incarnation != self.incarnation {
+            Some(Fate::Unknown)
+        } else if !self.protections.hold(Rule::Tombstone) {
+            Some(Fate::NotRun)
+        } else {
+            None
+        };
+        if let Some(fate) = known {
             outputs.push(GateOutput::ToRouter {
                 connection,
-                message: ToRouter::FateOf {
-                    attempt,
-                    fate: Fate::NotRun,
-                },
+                message: ToRouter::FateOf { attempt, fate },
             });
             return;
         }
--- a/crates/stacktack-core/src/retry.rs
+++ b/crates/stacktack-core/src/retry.rs
@@ -1,4 +1,5 @@
-//! Retry budget: retries stay a fixed share of first attempts.
+//! Retry budget: retries stay a fixed share of first attempts. Pauses between
+//! tries.
 
 use std::time::Duration;
 
@@ -14,6 +15,9 @@
 /// Retries that a new budget starts with: a fleet has very many budgets.
 const FIRST_SAVED: f64 = 1.0;
 
+/// Doublings after which any pause is at its maximum.
+const MOST_DOUBLINGS: u32 = 16;
+
 /// Budget of one tenant at one router. Default: one retry to begin with, a
 /// tenth of one earned by each request, ten saved up at most.
 #[derive(Clone, Debug)]
@@ -46,7 +50,12 @@
 /// Pause before retry number `retry` (from 1): uniform between half and the
 /// whole of `base` doubled with each retry, at most `maximum`.
 pub fn backoff(retry: u32, base: Duration, maximum: Duration, random: &mut ChaCha8Rng) -> Duration {
-    let doubled = base.saturating_mul(1 << retry.saturating_sub(1).min(16));
-    let whole = doubled.min(maximum);
+    let whole = doubled(base, retry.saturating_sub(1), maximum);
     whole.mul_f64(random.random_range(0.5..=1.0))
 }
+
+/// `base` doubled so many times, at most `maximum`.
+pub fn doubled(base: Duration, times: u32, maximum: Duration) -> Duration {
+    base.saturating_mul(1 << times.min(MOST_DOUBLINGS))
+        .min(maximum)
+}
--- a/crates/stacktack-core/tests/direct.rs
+++ b/crates/stacktack-core/tests/direct.rs
@@ -8,10 +8,10 @@
 use rand_chacha::ChaCha8Rng;
 use stacktack_core::configuration::selector::{Labels, Requirement};
 use stacktack_core::direct::attempt::{AttemptFailure, AttemptLedger};
-use stacktack_core::direct::back_end::{
-    BackEndEntry, BackEnds, Departure, DirectoryChange, Standing,
-};
+use stacktack_core::direct::back_end::Standing;
+use stacktack_core::direct::back_ends::BackEnds;
 use stacktack_core::direct::budget::{BudgetBound, SharedRetryBudget};
+use stacktack_core::direct::directory::{BackEndEntry, Departure, DirectoryChange};
 use stacktack_core::direct::events::EventSplitter;
 use stacktack_core::direct::prompt::{PromptChain, PromptError};
 use stacktack_core::direct::route::{
--- a/crates/stacktack-core/tests/suspicion.rs
+++ b/crates/stacktack-core/tests/suspicion.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 
 use stacktack_core::configuration::selector::Labels;
-use stacktack_core::direct::back_end::{BackEndEntry, BackEnds, DirectoryChange, Standing};
+use stacktack_core::direct::back_end::Standing;
+use stacktack_core::direct::back_ends::BackEnds;
+use stacktack_core::direct::directory::{BackEndEntry, DirectoryChange};
 use stacktack_core::direct::suspicion::{RequestRisk, Suspicion};
 use stacktack_core::time::Time;
 
--- a/crates/stacktack-direct/src/exchange.rs
+++ b/crates/stacktack-direct/src/exchange.rs
@@ -188,7 +188,7 @@
     }
 
     /// Why nobody gave an answer.
-    pub(crate) fn refusal_kind(&self) -> RefusalKind {
+    fn refusal_kind(&self) -> RefusalKind {
         if self.ledger.may_have_run && Instant::now() >= self.limit {
             RefusalKind::TimeOver
         } else if self.ledger.may_have_run {
--- a/crates/stacktack-direct/src/followers.rs
+++ b/crates/stacktack-direct/src/followers.rs
@@ -9,8 +9,8 @@
 
 use rand::RngExt;
 use stacktack_core::chart::ChartError;
-use stacktack_core::direct::back_end::{BackEndEntry, DirectoryChange, DirectoryDelta};
 use stacktack_core::direct::departure::DirectorySource;
+use stacktack_core::direct::directory::{DirectoryChange, DirectoryDelta};
 use stacktack_core::time::Time;
 use tokio::sync::Notify;
 use tokio::time::error::Elapsed;
@@ -263,48 +263,42 @@
         }
         let mut change = DirectoryChange::default();
         let gone = self.router.held_departures.borrow_mut().release();
+        let mut back_ends = self.router.back_ends.borrow_mut();
         for departure in gone {
-            let mut back_ends = self.router.back_ends.borrow_mut();
             back_ends.remove(departure, &mut change);
         }
+        drop(back_ends);
         report(&self.router, &change, self.router.directory_changed.get());
     }
 
-    /// Whether a whole directory lists all that is known.
-    fn misses_none(&self, listed: &[BackEndEntry]) -> bool {
-        let back_ends = self.router.back_ends.borrow();
-        back_ends.missing_from(listed, 0).is_empty()
-    }
-
     fn take_news(&self, news: DirectoryNews, now: Time) {
         for id in &news.invalid {
             log::warn!(target: "directory", "back_end={id} taken=false cause=invalid_row");
         }
-        let mut delta = news.delta;
-        let listed = &delta.present;
-        if delta.whole && !self.misses_none(listed) {
-            // Rows that are gone do not show when they went.
-            delta.revision = news.revision;
-        }
-        take_delta(&self.router, delta, self.is_steady(now));
+        take_delta(&self.router, news.delta, news.revision, self.is_steady(now));
     }
 }
 
-/// Takes news of the directory; while it is not `steady`, entries that vanished
-/// are held.
-pub fn take_delta(router: &Router, delta: DirectoryDelta, steady: bool) {
+/// Takes news of the directory, read as of a revision; while it is not `steady`,
+/// entries that vanished are held.
+pub fn take_delta(router: &Router, delta: DirectoryDelta, read_at: u64, steady: bool) {
     let now = router.now();
-    let revision = delta.revision;
-    let changed = router.directory_changed.get().max(revision);
-    router.directory_changed.set(changed);
+    let mut revision = delta.revision;
     let mut change = DirectoryChange::default();
     let mut back_ends = router.back_ends.borrow_mut();
     let mut held = router.held_departures.borrow_mut();
     let mut gone = delta.gone;
     if delta.whole {
-        gone.extend(back_ends.missing_from(&delta.present, revision));
+        let missing = back_ends.missing_from(&delta.present, read_at);
+        if !missing.is_empty() {
+            // What is not listed does not show when it left.
+            revision = read_at;
+        }
+        gone.extend(missing);
         back_ends.on_whole(revision);
     }
+    let changed = router.directory_changed.get().max(revision);
+    router.directory_changed.set(changed);
     for entry in delta.present {
         held.renew(&entry.id, entry.revision);
         back_ends.upsert(entry, now, &mut change);
--- a/crates/stacktack-direct/src/news.rs
+++ b/crates/stacktack-direct/src/news.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use hyper::{Request, StatusCode};
 use serde::{Deserialize, Serialize};
-use stacktack_core::direct::back_end::DirectoryDelta;
+use stacktack_core::direct::directory::DirectoryDelta;
 use stacktack_core::direct::peers::{OwnNews, PeerNews, ShortId, MAXIMUM_DATAGRAM};
 use stacktack_core::direct::route::{TrafficConfiguration, TrafficDocument};
 use stacktack_core::time::Time;
@@ -236,7 +236,8 @@
         router.adopt(Arc::new(TrafficConfiguration::from(document)));
     }
     if directory.revision > router.directory_changed.get() {
-        take_delta(router, directory, true);
+        let revision = directory.revision;
+        take_delta(router, directory, revision, true);
     }
 }
 
--- a/crates/stacktack-direct/src/ports.rs
+++ b/crates/stacktack-direct/src/ports.rs
@@ -11,7 +11,7 @@
 pub use futures_util::future::LocalBoxFuture;
 use hyper::http::{request, response};
 use hyper::{HeaderMap, Response};
-use stacktack_core::direct::back_end::DirectoryDelta;
+use stacktack_core::direct::directory::DirectoryDelta;
 use stacktack_core::direct::prompt::PromptChain;
 use stacktack_core::direct::route::TrafficConfiguration;
 use thiserror::Error;
--- a/crates/stacktack-direct/src/router.rs
+++ b/crates/stacktack-direct/src/router.rs
@@ -8,9 +8,10 @@
 
 use rand::Rng;
 use stacktack_core::configuration::selector::{matches_all, Requirement};
-use stacktack_core::direct::back_end::{BackEnds, ZONE_LABEL};
+use stacktack_core::direct::back_ends::BackEnds;
 use stacktack_core::direct::budget::SharedRetryBudget;
 use stacktack_core::direct::departure::HeldDepartures;
+use stacktack_core::direct::directory::ZONE_LABEL;
 use stacktack_core::direct::peers::{Peers, ShortId, ZoneHash};
 use stacktack_core::direct::places::PrefixPlaces;
 use stacktack_core::direct::route::TrafficConfiguration;
--- a/crates/stacktack-direct/src/server.rs
+++ b/crates/stacktack-direct/src/server.rs
@@ -49,8 +49,7 @@
 /// serves, its address is closed: a refused connection sends a caller on at
 /// once, while an answer would cost it one of its tries. While nobody serves, who
 /// comes is told so.
-pub async fn accept_callers(router: Rc<Router>, listener: TcpListener) {
-    let mut listener = listener;
+pub async fn accept_callers(router: Rc<Router>, mut listener: TcpListener) {
     loop {
         tokio::select! {
             () = accept_from(&router, &listener) => {}
--- a/crates/stacktack-direct/tests/followers.rs
+++ b/crates/stacktack-direct/tests/followers.rs
@@ -11,8 +11,8 @@
 use hyper::http::{request, response};
 use hyper::{HeaderMap, Response};
 use stacktack_core::configuration::selector::Labels;
-use stacktack_core::direct::back_end::{BackEndEntry, Departure, DirectoryDelta};
 use stacktack_core::direct::budget::BudgetBound;
+use stacktack_core::direct::directory::{BackEndEntry, Departure, DirectoryDelta};
 use stacktack_direct::followers::{follow_directory, Dependency};
 use stacktack_direct::metrics::DirectMetrics;
 use stacktack_direct::ports::{
