--- a/crates/stacktack-core/src/direct/mod.rs
+++ b/crates/stacktack-core/src/direct/mod.rs
@@ -5,7 +5,6 @@
 //! the retry budget and the certainty of "not run" are decided here.
 //!
 //! - [`admission`]: whether a pool takes one more request.
-//! - [`capacity`]: whether the router itself has time for one more.
 //! - [`peers`]: news between routers; [`peer_news`]: what a datagram holds.
 //! - [`places`]: where prompt parts were last read.
 //! - [`route`]: routes, keys and limits: the traffic configuration.
@@ -25,7 +24,6 @@
 pub mod back_end;
 pub mod back_ends;
 pub mod budget;
-pub mod capacity;
 pub mod departure;
 pub mod directory;
 pub mod events;
--- a/crates/stacktack-ctl/src/account.rs
+++ b/crates/stacktack-ctl/src/account.rs
@@ -143,7 +143,6 @@
         "rejected" => format!("not run: {met}{budget}"),
         "no_back_end" => format!("not run: no back end could take it ({met})"),
         "busy" => format!("not run: {}", no_room(own)),
-        "overloaded" => "not run: the router itself had no processor time for it".to_owned(),
         "not_ready" => "not run: the router knew no configuration".to_owned(),
         "stopping" => "not run: the router was about to end and no other served".to_owned(),
         "unknown_key" => format!(
--- a/crates/stacktack-direct/src/admission.rs
+++ b/crates/stacktack-direct/src/admission.rs
@@ -95,7 +95,6 @@
         tried: Vec::new(),
         admitted: false,
         returned: false,
-        overloaded: false,
         come_back: None,
         outcome: Outcome::Open,
     }))
--- a/crates/stacktack-direct/src/exchange.rs
+++ b/crates/stacktack-direct/src/exchange.rs
@@ -73,8 +73,6 @@
     pub(crate) admitted: bool,
     /// Whether its caller came back after a refusal, as far as its patience tells.
     pub(crate) returned: bool,
-    /// Whether the router itself had no time for it.
-    pub(crate) overloaded: bool,
     /// After what time the caller may come back, once its pool had no room.
     pub(crate) come_back: Option<Duration>,
     pub(crate) outcome: Outcome,
@@ -213,8 +211,6 @@
             RefusalKind::TimeOver
         } else if self.ledger.may_have_run {
             RefusalKind::Lost
-        } else if self.overloaded {
-            RefusalKind::Overloaded
         } else if self.come_back.is_some() {
             RefusalKind::Busy
         } else if self.ledger.sends > 0 {
--- a/crates/stacktack-direct/src/ports.rs
+++ b/crates/stacktack-direct/src/ports.rs
@@ -95,8 +95,6 @@
     NoBackEnd,
     /// All back ends of the pool are full.
     Busy,
-    /// The router itself has no processor time for it.
-    Overloaded,
     /// Back ends refused it; it did not run.
     Rejected,
     /// It may have run and its answer is lost.
@@ -123,7 +121,6 @@
             RefusalKind::Stopping => "stopping",
             RefusalKind::NoBackEnd => "no_back_end",
             RefusalKind::Busy => "busy",
-            RefusalKind::Overloaded => "overloaded",
             RefusalKind::Rejected => "rejected",
             RefusalKind::Lost => "lost",
             RefusalKind::TimeOver => "time_over",
--- a/crates/stacktack-direct/src/room.rs
+++ b/crates/stacktack-direct/src/room.rs
@@ -64,34 +64,6 @@
             .with_admission(pool_name(self.pool()), |admission| admission.hold_seconds())
     }
 
-    /// Whether the router itself has no time for the request; who comes back as told
-    /// is taken.
-    pub(crate) fn is_beyond_capacity(&mut self) -> bool {
-        let capacity = self.router.capacity.get();
-        if !capacity.refuses(rand::rng().random()) {
-            return false;
-        }
-        let now = self.router.now();
-        let draw: f64 = rand::rng().random();
-        let come_back = self.with_admission(|admission, request| {
-            let returned = admission.has_returned(request);
-            (!returned).then(|| admission.on_refused(request, draw, now))
-        });
-        let Some(come_back) = come_back else {
-            return false;
-        };
-        self.come_back = Some(come_back);
-        self.overloaded = true;
-        log::info!(
-            target: "admission",
-            "id={} taken=false cause=own_capacity refused_share={:.2} retry_after_ms={}",
-            self.id,
-            capacity.refused_share(),
-            come_back.as_millis(),
-        );
-        true
-    }
-
     /// Why the request is to be refused, if it is. What is under way always goes on;
     /// what was taken once needs room at a back end only.
     pub(crate) fn lacks_room(&self, choice: &Choice, under_way: bool) -> Option<RoomCause> {
--- a/crates/stacktack-direct/src/router.rs
+++ b/crates/stacktack-direct/src/router.rs
@@ -13,7 +13,6 @@
 use stacktack_core::direct::admission::{PoolAdmission, SlotLimit};
 use stacktack_core::direct::back_ends::BackEnds;
 use stacktack_core::direct::budget::SharedRetryBudget;
-use stacktack_core::direct::capacity::OwnCapacity;
 use stacktack_core::direct::departure::HeldDepartures;
 use stacktack_core::direct::directory::ZONE_LABEL;
 use stacktack_core::direct::peer_news::{ShortId, ZoneHash};
@@ -59,8 +58,6 @@
     pub connections: RefCell<RestingConnections>,
     /// Where prompt parts were last read.
     pub places: RefCell<PrefixPlaces>,
-    /// The router's own processor time.
-    pub capacity: Cell<OwnCapacity>,
     /// Room of each pool.
     admissions: RefCell<HashMap<String, PoolAdmission>>,
     /// Retry budget by pool.
@@ -113,7 +110,6 @@
             back_ends: RefCell::default(),
             connections: RefCell::default(),
             places: RefCell::default(),
-            capacity: Cell::default(),
             admissions: RefCell::default(),
             budgets: RefCell::default(),
             peers: RefCell::new(peers),
@@ -170,19 +166,6 @@
 
     /// A timer of the process fired this late.
     pub fn note_lag(&self, lag: Duration) {
-        let before = self.capacity.get();
-        let mut capacity = before;
-        capacity.on_lag(lag);
-        self.capacity.set(capacity);
-        let (before, after) = (before.refused_share(), capacity.refused_share());
-        if (before > 0.0) != (after > 0.0) {
-            log::info!(
-                target: "capacity",
-                "overloaded={} refused_share={after:.2} lag_ms={}",
-                after > 0.0,
-                lag.as_millis(),
-            );
-        }
         self.metrics.record_lag(lag.as_secs_f64());
     }
 
@@ -286,10 +269,6 @@
         load: f64,
         slots: u32,
     ) {
-        if self.capacity.get().refused_share() > 0.0 {
-            // Answers are late here for the router's own sake.
-            return;
-        }
         let (before, allowance, hold) = self.with_admission(pool, |admission| {
             let before = admission.allowance();
             admission.on_first_byte(after, objective, load, slots);
--- a/crates/stacktack-direct/src/sending.rs
+++ b/crates/stacktack-direct/src/sending.rs
@@ -35,9 +35,6 @@
     pub(crate) async fn attempt(&mut self, resume_after: Option<&str>) -> AttemptEnd {
         // A stream under way goes before new work.
         let under_way = resume_after.is_some() || self.caller.resume_after.is_some();
-        if !under_way && !self.admitted && self.is_beyond_capacity() {
-            return AttemptEnd::NoRoom;
-        }
         let limit = (!under_way).then(|| self.slot_limit());
         let Some(choice) = self.select(limit) else {
             return AttemptEnd::NoBackEnd;
