Sight: say when a back end ended and which requests broke there

Cause looked for: back ends that end one after the other. The lines could not tell an end from a broken answer, nor that two tries with ids of their own are one request. Now: a digest of caller, method, host, path and body; where a run breaks off, one look (a connection) at whether the back end still accepts any; line 'ended' with the cause and the requests that broke there. No choice changes.

--- a/crates/stacktack-core/src/direct/mod.rs
+++ b/crates/stacktack-core/src/direct/mod.rs
@@ -10,12 +10,14 @@
 //! - [`peers`]: news between routers.
 //! - [`choice`]: which back end a request goes to.
 //! - [`admission`]: whether a pool takes one more request.
+//! - [`quarantine`]: requests that end the back ends which run them.
 //! - [`request`]: what attempts proved, repeated sends, whole events of a stream.
 
 pub mod admission;
 pub mod back_ends;
 pub mod choice;
 pub mod peers;
+pub mod quarantine;
 pub mod request;
 pub mod sources;
 pub mod traffic;
--- /dev/null
+++ b/crates/stacktack-core/tests/request_digest.rs
@@ -0,0 +1,71 @@
+//! Which tries are the same request.
+
+use stacktack_core::direct::quarantine::digest::{DigestError, RequestDigest, RequestIdentity};
+
+const REQUEST: RequestIdentity<'_> = RequestIdentity {
+    caller: "tenant-one",
+    method: "POST",
+    host: "h.example",
+    target: "/safe/x?y",
+    body: b"a body",
+};
+
+#[test]
+fn whatever_differs_makes_another_request() {
+    let others = [
+        RequestIdentity {
+            caller: "tenant-two",
+            ..REQUEST
+        },
+        RequestIdentity {
+            method: "PUT",
+            ..REQUEST
+        },
+        RequestIdentity {
+            host: "i.example",
+            ..REQUEST
+        },
+        RequestIdentity {
+            target: "/safe/x?z",
+            ..REQUEST
+        },
+        RequestIdentity {
+            body: b"a bodz",
+            ..REQUEST
+        },
+    ];
+    let own = RequestDigest::of(&REQUEST);
+    assert_eq!(own, RequestDigest::of(&REQUEST));
+    for other in others {
+        assert_ne!(own, RequestDigest::of(&other), "{other:?}");
+    }
+}
+
+#[test]
+fn bytes_do_not_pass_from_one_part_to_the_next() {
+    let first = RequestIdentity {
+        target: "/x",
+        body: b"yz",
+        ..REQUEST
+    };
+    let second = RequestIdentity {
+        target: "/xy",
+        body: b"z",
+        ..REQUEST
+    };
+    assert_ne!(RequestDigest::of(&first), RequestDigest::of(&second));
+}
+
+#[test]
+fn its_text_is_read_back_and_other_texts_are_refused() {
+    let digest = RequestDigest::of(&REQUEST);
+    assert_eq!(digest.to_string().parse(), Ok(digest));
+    for text in [
+        "",
+        "ab",
+        "zz0000000000000000000000",
+        "0123456789abcdef0123456é",
+    ] {
+        assert_eq!(text.parse::<RequestDigest>(), Err(DigestError), "{text}");
+    }
+}
--- a/crates/stacktack-direct/src/answer.rs
+++ b/crates/stacktack-direct/src/answer.rs
@@ -261,6 +261,7 @@
         } else {
             attempt.on_failure();
         }
+        exchange.note_broken_run(&attempt, failure);
         drop(attempt);
         let Some(splitter) = &mut self.splitter else {
             exchange.note_failure(failure, "-");
--- a/crates/stacktack-direct/src/app.rs
+++ b/crates/stacktack-direct/src/app.rs
@@ -174,6 +174,7 @@
             .expire(std::time::Instant::now());
         let now = router.now();
         router.places.borrow_mut().expire(now);
+        router.broken_runs.borrow_mut().expire(now);
         router.log_loads();
     }
 }
--- a/crates/stacktack-direct/src/exchange.rs
+++ b/crates/stacktack-direct/src/exchange.rs
@@ -9,6 +9,7 @@
 use hyper::http::request;
 use hyper::Response;
 use stacktack_core::configuration::selector::Requirement;
+use stacktack_core::direct::quarantine::digest::{RequestDigest, RequestIdentity};
 use stacktack_core::direct::request::attempt::{AttemptFailure, AttemptLedger};
 use stacktack_core::direct::traffic::route::{Route, Tenant};
 use tokio::time::timeout_at;
@@ -111,12 +112,36 @@
     }
 }
 
+/// Which request a head, a body and a caller make.
+pub(crate) fn digest_of(
+    head: &request::Parts,
+    body: &[u8],
+    tenant: Option<&Tenant>,
+) -> RequestDigest {
+    let host = head.headers.get(hyper::header::HOST);
+    RequestDigest::of(&RequestIdentity {
+        caller: tenant.map_or("", |tenant| tenant.name.as_str()),
+        method: head.method.as_str(),
+        host: host.and_then(|host| host.to_str().ok()).unwrap_or(""),
+        target: head
+            .uri
+            .path_and_query()
+            .map_or("/", |target| target.as_str()),
+        body,
+    })
+}
+
 impl Exchange {
     /// Conditions on the back ends that may serve the request.
     pub(crate) fn pool(&self) -> &[Requirement] {
         &self.route.targets[self.target].back_ends
     }
 
+    /// Which request it is, whatever id this try of it has.
+    pub(crate) fn digest(&self) -> RequestDigest {
+        digest_of(&self.head, &self.body, self.tenant.as_deref())
+    }
+
     /// Rank among requests to the same pool; a tenant's goes before its route's.
     pub(crate) fn priority(&self) -> u8 {
         let tenant = self.tenant.as_deref();
@@ -201,6 +226,7 @@
             Ok(answer) => Ok((answer, attempt)),
             Err(failure) => {
                 attempt.on_failure();
+                self.note_broken_run(&attempt, failure);
                 Err(failure)
             }
         }
--- a/crates/stacktack-direct/src/followers/directory.rs
+++ b/crates/stacktack-direct/src/followers/directory.rs
@@ -194,6 +194,7 @@
             log::info!(target: "directory", "back_end={id} now={word} revision={revision}");
         }
     }
+    router.on_vanished(&change.gone);
     for id in &change.gone {
         router.places.borrow_mut().forget_back_end(id);
     }
--- a/crates/stacktack-direct/src/lib.rs
+++ b/crates/stacktack-direct/src/lib.rs
@@ -10,7 +10,8 @@
 //! - [`app`]: start, signals, stop.
 //! - `server`: callers' connections. `connection`: back-end connections.
 //! - `admission`, `exchange`, `sending`, `choice`, `attempt`: one request from
-//!   head to end; `room`: whether its pool and the router take it. `held`, `respond`, `answer`: answers on their way to callers.
+//!   head to end; `room`: whether its pool and the router take it; `back_end_end`: whether
+//!   what broke an attempt was the end of its back end. `held`, `respond`, `answer`: answers on their way to callers.
 //! - [`followers`]: configuration and directory. `news`: what routers tell each
 //!   other; [`knowledge`]: what they hand to each other. [`calls`] and
 //!   [`transfer`]: calls under way and how far their answers have come. [`router`]: state of the process.
@@ -19,6 +20,7 @@
 mod answer;
 pub mod app;
 mod attempt;
+mod back_end_end;
 pub mod calls;
 mod choice;
 pub mod client;
--- a/crates/stacktack-direct/src/router.rs
+++ b/crates/stacktack-direct/src/router.rs
@@ -19,6 +19,7 @@
 use stacktack_core::direct::choice::select::DirectCandidate;
 use stacktack_core::direct::peers::peer_news::{ShortId, ZoneHash};
 use stacktack_core::direct::peers::Peers;
+use stacktack_core::direct::quarantine::broken_runs::BrokenRuns;
 use stacktack_core::direct::request::budget::SharedRetryBudget;
 use stacktack_core::direct::sources::departure::HeldDepartures;
 use stacktack_core::direct::traffic::configuration_changes::ConfigurationHistory;
@@ -27,6 +28,7 @@
 use tokio::sync::{watch, Notify};
 use tokio::time::Instant;
 
+use crate::back_end_end::Look;
 use crate::connection::RestingConnections;
 use crate::load_summary::LoadSummary;
 use crate::metrics::DirectMetrics;
@@ -84,6 +86,10 @@
     pub directory_changed: Cell<u64>,
     /// Back ends that vanished from the directory and may come back.
     pub held_departures: RefCell<HeldDepartures>,
+    /// Runs that broke off, until it is known whether their back end ended.
+    pub(crate) broken_runs: RefCell<BrokenRuns>,
+    /// Looks at whether back ends still accept connections.
+    pub(crate) looks: RefCell<HashMap<String, Look>>,
     /// Counters and histograms.
     pub metrics: DirectMetrics,
     /// How far the process is on its way to its end.
@@ -134,6 +140,8 @@
             peers: RefCell::new(peers),
             directory_changed: Cell::new(0),
             held_departures: RefCell::default(),
+            broken_runs: RefCell::default(),
+            looks: RefCell::default(),
             metrics,
             phase: watch::Sender::new(Phase::Serving),
             store_lost: Cell::new(false),
--- a/crates/stacktack-direct/src/sending.rs
+++ b/crates/stacktack-direct/src/sending.rs
@@ -64,6 +64,7 @@
                 } else {
                     attempt.on_unreachable();
                 }
+                self.note_broken_run(&attempt, failure);
                 AttemptEnd::Failure(failure, None)
             }
         }
@@ -227,7 +228,10 @@
                     attempt.finish();
                     AttemptEnd::Failure(AttemptFailure::Failed, Some(stored))
                 }
-                Err(_) => AttemptEnd::Failure(AttemptFailure::Broken, None),
+                Err(_) => {
+                    self.note_broken_run(&attempt, AttemptFailure::Broken);
+                    AttemptEnd::Failure(AttemptFailure::Broken, None)
+                }
             };
         }
         attempt.on_good_answer();
