--- a/crates/stacktack-core/src/direct/back_ends/directory.rs
+++ b/crates/stacktack-core/src/direct/back_ends/directory.rs
@@ -4,14 +4,17 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::configuration::selector::Labels;
 
 /// A back end as the directory describes it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BackEndEntry {
-    /// Unique id of this life of the back end.
+    /// Id of the back end; a new life may have the same one.
     pub id: String,
+    /// Unix millisecond of the start of this life; 0 where it is not told.
+    pub born: u64,
     /// Where it listens.
     pub address: SocketAddr,
     /// Labels; pools are conditions on them.
@@ -27,12 +30,49 @@
 }
 
 impl BackEndEntry {
+    /// Whether this is a later life of the same id than another entry tells of.
+    pub fn is_later_life_than(&self, other: &BackEndEntry) -> bool {
+        other.born != 0 && self.born > other.born
+    }
+
     /// The zone that it stands in, where its label says so.
     pub fn zone(&self) -> Option<&str> {
         self.labels.get(ZONE_LABEL).map(String::as_str)
     }
 }
 
+/// One life of a back end: its id and its birth.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct LifeId([u8; 4]);
+
+impl LifeId {
+    /// The life that an entry of the directory describes.
+    pub fn of(entry: &BackEndEntry) -> Self {
+        let hash = xxh3_64_with_seed(entry.id.as_bytes(), entry.born);
+        let [first, second, third, fourth, ..] = hash.to_le_bytes();
+        LifeId([first, second, third, fourth])
+    }
+}
+
+/// A life that ended without having said that it leaves, as far as the directory tells.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct VanishedLife {
+    /// Id of the back end.
+    pub back_end: String,
+    /// Its life.
+    pub life: LifeId,
+}
+
+impl VanishedLife {
+    /// The life that an entry described, unless that was leaving.
+    pub fn of(entry: &BackEndEntry) -> Option<Self> {
+        (!entry.leaving).then(|| VanishedLife {
+            back_end: entry.id.clone(),
+            life: LifeId::of(entry),
+        })
+    }
+}
+
 /// An entry that left the directory.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Departure {
@@ -63,6 +103,10 @@
 pub struct DirectoryChange {
     /// Ids that were not known before.
     pub joined: Vec<String>,
+    /// Ids that were known under an earlier life.
+    pub reborn: Vec<String>,
+    /// Lives that ended unplanned, of ids that are gone or in another life.
+    pub vanished: Vec<VanishedLife>,
     /// Ids that take no new work from now on.
     pub leaving: Vec<String>,
     /// Ids that are gone.
--- a/crates/stacktack-core/src/direct/back_ends/mod.rs
+++ b/crates/stacktack-core/src/direct/back_ends/mod.rs
@@ -20,7 +20,7 @@
 
 use crate::direct::back_ends::back_end::BackEnd;
 use crate::direct::back_ends::directory::{
-    BackEndEntry, Departure, DirectoryChange, DirectoryDelta,
+    BackEndEntry, Departure, DirectoryChange, DirectoryDelta, VanishedLife,
 };
 use crate::direct::back_ends::slow_start::{KnownFleet, SlowStart};
 use crate::direct::back_ends::standing::{PoolMeans, Standing};
@@ -47,6 +47,13 @@
     pub fn upsert(&mut self, entry: BackEndEntry, now: Time, change: &mut DirectoryChange) {
         match self.members.get_mut(&entry.id) {
             Some(known) if known.entry.revision > entry.revision => {}
+            Some(known) if entry.born != 0 && known.entry.is_later_life_than(&entry) => {}
+            Some(known) if entry.is_later_life_than(&known.entry) => {
+                // Nothing that was believed of the life before holds for this one.
+                change.reborn.push(entry.id.clone());
+                change.vanished.extend(VanishedLife::of(&known.entry));
+                *known = BackEnd::new(entry, now);
+            }
             Some(known) => {
                 if entry.leaving && !known.entry.leaving {
                     change.leaving.push(entry.id.clone());
@@ -79,7 +86,9 @@
         if known.is_none_or(|known| known.entry.revision > departure.revision) {
             return;
         }
-        self.members.remove(&departure.id);
+        if let Some(known) = self.members.remove(&departure.id) {
+            change.vanished.extend(VanishedLife::of(&known.entry));
+        }
         change.gone.push(departure.id.clone());
         self.departures.push_back(departure);
         if self.departures.len() > MAXIMUM_DEPARTURES {
--- a/crates/stacktack-core/src/direct/peers/mod.rs
+++ b/crates/stacktack-core/src/direct/peers/mod.rs
@@ -343,6 +343,12 @@
         self.peers.len()
     }
 
+    /// Whether fewer than half of the peers known lately are heard: what the others know does
+    /// not come from them.
+    pub fn misses_many(&self) -> bool {
+        self.peers.len() * 2 < self.peak.0
+    }
+
     /// Whether some peer takes callers, as far as known.
     pub fn any_serving(&self) -> bool {
         self.peers.values().any(|peer| peer.serving)
--- a/crates/stacktack-core/src/direct/quarantine/broken_runs.rs
+++ b/crates/stacktack-core/src/direct/quarantine/broken_runs.rs
@@ -7,6 +7,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use crate::direct::back_ends::directory::LifeId;
 use crate::direct::quarantine::digest::RequestDigest;
 use crate::time::Time;
 
@@ -30,39 +31,39 @@
     pub at: Time,
 }
 
-/// Broken runs by back end.
+/// Broken runs by the life of a back end.
 #[derive(Clone, Debug, Default)]
 pub struct BrokenRuns {
-    waiting: HashMap<String, Vec<BrokenRun>>,
-    /// Back ends that ended, and when that showed.
-    ended: HashMap<String, Time>,
+    waiting: HashMap<LifeId, Vec<BrokenRun>>,
+    /// Lives that ended, and when that showed.
+    ended: HashMap<LifeId, Time>,
 }
 
 impl BrokenRuns {
     /// A run broke off.
-    pub fn note(&mut self, back_end: &str, run: BrokenRun) {
-        let runs = self.waiting.entry(back_end.to_owned()).or_default();
+    pub fn note(&mut self, life: LifeId, run: BrokenRun) {
+        let runs = self.waiting.entry(life).or_default();
         if runs.len() < MOST_PER_BACK_END {
             runs.push(run);
         }
     }
 
-    /// It showed that a back end ended. Returns the runs that broke off there.
-    pub fn on_ended(&mut self, back_end: &str, now: Time) -> Vec<BrokenRun> {
-        self.ended.insert(back_end.to_owned(), now);
-        let runs = self.waiting.remove(back_end).unwrap_or_default();
+    /// It showed that a life ended. Returns the runs that broke off there.
+    pub fn on_ended(&mut self, life: LifeId, now: Time) -> Vec<BrokenRun> {
+        self.ended.insert(life, now);
+        let runs = self.waiting.remove(&life).unwrap_or_default();
         let fresh = |run: &BrokenRun| now.since(run.at) < KEEP;
         runs.into_iter().filter(fresh).collect()
     }
 
-    /// Whether a back end is known to have ended.
-    pub fn has_ended(&self, back_end: &str) -> bool {
-        self.ended.contains_key(back_end)
+    /// Whether a life is known to have ended.
+    pub fn has_ended(&self, life: LifeId) -> bool {
+        self.ended.contains_key(&life)
     }
 
     /// Whether runs broke off there that nothing explains yet.
-    pub fn is_waiting(&self, back_end: &str) -> bool {
-        self.waiting.contains_key(back_end)
+    pub fn is_waiting(&self, life: LifeId) -> bool {
+        self.waiting.contains_key(&life)
     }
 
     /// Forgets what is too old to count.
--- /dev/null
+++ b/crates/stacktack-core/src/direct/quarantine/record.rs
@@ -0,0 +1,215 @@
+//! What speaks against one request, in a form that routers can merge.
+//!
+//! Deaths are a set of lives and no number, so that one death that two routers saw counts
+//! once, whatever is told how often and in whichever order. What speaks for a request, a run
+//! that ended well, begins a new epoch with an empty set: a newer epoch replaces an older one.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::direct::back_ends::directory::LifeId;
+use crate::direct::quarantine::digest::RequestDigest;
+use crate::time::Time;
+
+/// Deaths from which a request is a suspect. One death says little: an end breaks all that its
+/// back end was running, 40 to 60 requests in the case that was measured.
+const SUSPECT_DEATHS: usize = 2;
+
+/// Deaths from which a request may be set aside: three ends are what the promise allows.
+const VERDICT_DEATHS: usize = 3;
+
+/// Deaths on trial that it takes besides, each under another life. A repeat of an innocent
+/// request meets the next end too; that it meets two more at the back ends which its trial
+/// goes to, chosen before, is left for those that cause them (`tests/quarantine.rs`).
+const VERDICT_TRIAL_DEATHS: usize = 2;
+
+/// Lives that are remembered for one request: more add nothing.
+const MOST_LIVES: usize = 6;
+
+/// How a request is to be treated, by what speaks against it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Treatment {
+    /// As any other.
+    Usual,
+    /// As on trial where that is possible, else as any other.
+    Watched,
+    /// It runs on trial: at one of few back ends that its digest names, beside no other suspect
+    /// and once for each try of its caller.
+    Trial,
+    /// It is not sent to any back end.
+    SetAside,
+}
+
+impl Treatment {
+    /// Fixed word for logs and metrics.
+    pub fn word(self) -> &'static str {
+        match self {
+            Treatment::Usual => "usual",
+            Treatment::Watched => "watched",
+            Treatment::Trial => "trial",
+            Treatment::SetAside => "set_aside",
+        }
+    }
+}
+
+/// A record as routers tell it to each other.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RecordNews {
+    /// Which request.
+    pub digest: RequestDigest,
+    /// Times that it was cleared.
+    pub epoch: u32,
+    /// Lives that ended under it since; none once it is set aside.
+    pub deaths: Vec<LifeId>,
+    /// Those of them that ended while it was on trial.
+    pub trial_deaths: Vec<LifeId>,
+    /// Whether it is set aside.
+    pub set_aside: bool,
+    /// Whether the store holds that.
+    pub stored: bool,
+}
+
+/// What speaks against one request.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Record {
+    pub epoch: u32,
+    deaths: Vec<LifeId>,
+    trial_deaths: Vec<LifeId>,
+    set_aside: bool,
+    /// Since when the store is known to hold that it is set aside.
+    pub stored_since: Option<Time>,
+    /// When it is to be written there, if nobody else did.
+    pub store_due: Option<Time>,
+    /// When it last changed.
+    pub changed: Time,
+    /// When it last mattered: changed, or was asked for.
+    pub used: Time,
+}
+
+impl Record {
+    pub fn treatment(&self) -> Treatment {
+        if self.set_aside {
+            Treatment::SetAside
+        } else if self.deaths.len() >= SUSPECT_DEATHS {
+            Treatment::Trial
+        } else if self.deaths.is_empty() {
+            Treatment::Usual
+        } else {
+            Treatment::Watched
+        }
+    }
+
+    pub fn deaths(&self) -> usize {
+        self.deaths.len()
+    }
+
+    pub fn trial_deaths(&self) -> usize {
+        self.trial_deaths.len()
+    }
+
+    /// Whether something speaks against it.
+    pub fn is_marked(&self) -> bool {
+        self.set_aside || !self.deaths.is_empty()
+    }
+
+    /// A life ended under it. Returns whether that is news.
+    pub fn add_death(&mut self, life: LifeId, on_trial: bool, now: Time) -> bool {
+        let mut news = insert(&mut self.deaths, life);
+        if on_trial {
+            news |= insert(&mut self.trial_deaths, life);
+        }
+        if news {
+            self.changed = now;
+            self.used = now;
+            self.judge();
+        }
+        news
+    }
+
+    /// Whether it is set aside now.
+    fn judge(&mut self) {
+        let enough =
+            self.deaths.len() >= VERDICT_DEATHS && self.trial_deaths.len() >= VERDICT_TRIAL_DEATHS;
+        self.set_aside |= enough;
+    }
+
+    /// It is set aside, whatever is known of deaths.
+    pub fn set_aside(&mut self, now: Time) {
+        if !self.set_aside {
+            self.set_aside = true;
+            self.changed = now;
+            self.used = now;
+        }
+    }
+
+    /// Something speaks for it: what spoke against it counts no more.
+    pub fn clear(&mut self, now: Time) {
+        *self = Record {
+            epoch: self.epoch + 1,
+            changed: now,
+            used: now,
+            ..Record::default()
+        };
+    }
+
+    /// Takes what another router knows. Returns whether that changed anything.
+    pub fn merge(&mut self, news: &RecordNews, now: Time) -> bool {
+        if news.epoch < self.epoch {
+            return false;
+        }
+        let mut changed = news.epoch > self.epoch;
+        if changed {
+            *self = Record {
+                epoch: news.epoch,
+                ..Record::default()
+            };
+        }
+        for life in news.deaths.iter().take(MOST_LIVES) {
+            changed |= insert(&mut self.deaths, *life);
+        }
+        for life in news.trial_deaths.iter().take(MOST_LIVES) {
+            changed |= insert(&mut self.trial_deaths, *life);
+        }
+        changed |= news.set_aside && !self.set_aside;
+        self.set_aside |= news.set_aside;
+        self.judge();
+        if news.stored && self.stored_since.is_none() {
+            self.stored_since = Some(now);
+            self.store_due = None;
+        }
+        if changed {
+            self.changed = now;
+            self.used = now;
+        }
+        changed
+    }
+
+    pub fn news(&self, digest: RequestDigest) -> RecordNews {
+        let lives = |lives: &[LifeId]| match self.set_aside {
+            true => Vec::new(),
+            false => lives.to_vec(),
+        };
+        RecordNews {
+            digest,
+            epoch: self.epoch,
+            deaths: lives(&self.deaths),
+            trial_deaths: lives(&self.trial_deaths),
+            set_aside: self.set_aside,
+            stored: self.stored_since.is_some(),
+        }
+    }
+
+    /// Whether it is too old to count: nothing but a verdict is kept for long.
+    pub fn is_over(&self, keep: Duration, now: Time) -> bool {
+        !self.set_aside && now.since(self.used) >= keep
+    }
+}
+
+fn insert(lives: &mut Vec<LifeId>, life: LifeId) -> bool {
+    if lives.contains(&life) || lives.len() >= MOST_LIVES {
+        return false;
+    }
+    lives.push(life);
+    true
+}
--- a/crates/stacktack-core/tests/back_end_beliefs.rs
+++ b/crates/stacktack-core/tests/back_end_beliefs.rs
@@ -21,6 +21,7 @@
 fn entry(id: &str) -> BackEndEntry {
     BackEndEntry {
         id: id.to_owned(),
+        born: 0,
         address: SocketAddr::from(([127, 0, 0, 1], 9)),
         labels: Labels::from([("service".to_owned(), "s".to_owned())]),
         slots: 4,
--- a/crates/stacktack-core/tests/closed_members.rs
+++ b/crates/stacktack-core/tests/closed_members.rs
@@ -114,6 +114,7 @@
 fn back_end() -> BackEnd {
     let entry = BackEndEntry {
         id: "old".to_owned(),
+        born: 0,
         address: SocketAddr::from(([127, 0, 0, 1], 9)),
         labels: Labels::new(),
         slots: 4,
--- a/crates/stacktack-core/tests/directory.rs
+++ b/crates/stacktack-core/tests/directory.rs
@@ -14,6 +14,7 @@
 fn entry(id: &str, revision: u64) -> BackEndEntry {
     BackEndEntry {
         id: id.to_owned(),
+        born: 0,
         address: SocketAddr::from(([127, 0, 0, 1], 9)),
         labels: Labels::new(),
         slots: 4,
--- a/crates/stacktack-core/tests/load_news.rs
+++ b/crates/stacktack-core/tests/load_news.rs
@@ -104,6 +104,7 @@
         for back_end in 0..back_ends {
             let entry = BackEndEntry {
                 id: name(back_end),
+                born: 0,
                 address: address(back_end),
                 labels: Labels::default(),
                 slots: 48,
--- /dev/null
+++ b/crates/stacktack-core/tests/quarantine/main.rs
@@ -0,0 +1,368 @@
+//! Requests that end the back ends which run them are set aside, and no others.
+//!
+//! The story stands in the process test `fatal_requests`. Here whole fleets play it on virtual time.
+
+#[path = "../event_queue/mod.rs"]
+mod event_queue;
+mod world;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use stacktack_core::direct::back_ends::directory::{BackEndEntry, LifeId};
+use stacktack_core::direct::quarantine::broken_runs::{BrokenRun, BrokenRuns};
+use stacktack_core::direct::quarantine::digest::{RequestDigest, RequestIdentity};
+use stacktack_core::direct::quarantine::record::{RecordNews, Treatment};
+use stacktack_core::direct::quarantine::{Quarantine, StoredVerdict};
+use stacktack_core::time::Time;
+use world::{Outcome, Plan, World};
+
+const SECOND: Duration = Duration::from_secs(1);
+const NOW: Time = Time(100_000_000);
+
+/// Sizes of fleets, and back ends before each.
+const FLEETS: [(usize, usize); 5] = [(1, 6), (4, 18), (23, 40), (103, 180), (330, 180)];
+
+fn plan(routers: usize, back_ends: usize) -> Plan {
+    Plan {
+        seed: 5,
+        routers,
+        back_ends,
+        rate: 10.0,
+        fatal: 1,
+        fatal_every: Duration::from_millis(200),
+        length: Duration::from_secs(20),
+        protected: true,
+        same: 0.0,
+        lives_for: None,
+    }
+}
+
+fn show(name: &str, plan: &Plan, outcome: &Outcome) {
+    println!(
+        "{name}: {} routers, {} back ends: ends {}, late {:?}, innocent tries {}, shut out {}, served {}, {:.0} B/s",
+        plan.routers,
+        plan.back_ends,
+        outcome.ends,
+        outcome.late,
+        outcome.innocent,
+        outcome.shut_out,
+        outcome.served,
+        outcome.bytes_per_second,
+    );
+}
+
+/// A request that comes each 200 ms, to any router: at most three sends once three seconds have
+/// passed since its third end. Without a quarantine 150 at 4 routers, all that came.
+#[test]
+fn a_fatal_request_is_set_aside_in_fleets_of_any_size() {
+    for (routers, back_ends) in FLEETS {
+        let plan = plan(routers, back_ends);
+        let outcome = World::play(plan);
+        show("one fatal", &plan, &outcome);
+        assert!(outcome.late.iter().all(|late| *late <= 3), "{outcome:?}");
+        assert!(outcome.bytes_per_second <= 2048.0, "{outcome:?}");
+        assert_eq!(outcome.shut_out, 0, "{outcome:?}");
+    }
+}
+
+#[test]
+fn without_a_quarantine_it_goes_on() {
+    let plan = Plan {
+        protected: false,
+        ..plan(4, 18)
+    };
+    let outcome = World::play(plan);
+    show("unprotected", &plan, &outcome);
+    assert!(outcome.late[0] > 50, "{outcome:?}");
+}
+
+#[test]
+fn several_fatal_requests_at_once_are_set_aside() {
+    let plan = Plan {
+        fatal: 4,
+        fatal_every: Duration::from_millis(500),
+        ..plan(23, 40)
+    };
+    let outcome = World::play(plan);
+    show("four fatal", &plan, &outcome);
+    assert!(outcome.late.iter().all(|late| *late <= 3), "{outcome:?}");
+    assert!(outcome.shut_out * 500 < outcome.innocent, "{outcome:?}");
+}
+
+#[test]
+fn one_that_comes_seldom_is_set_aside() {
+    let every = Duration::from_secs(4);
+    let plan = Plan {
+        fatal_every: every,
+        length: Duration::from_secs(60),
+        ..plan(23, 40)
+    };
+    let outcome = World::play(plan);
+    show("seldom", &plan, &outcome);
+    assert!(outcome.late[0] <= 3, "{outcome:?}");
+}
+
+/// Back ends that end by themselves, each after six seconds in the mean, and a request
+/// that a fifth of all callers send: nobody is shut out for what others did.
+#[test]
+fn where_back_ends_end_by_themselves_nobody_is_shut_out() {
+    for seed in 1..=4 {
+        let plan = Plan {
+            seed,
+            fatal: 0,
+            same: 0.2,
+            lives_for: Some(Duration::from_secs(6)),
+            ..plan(23, 40)
+        };
+        let outcome = World::play(plan);
+        show("own ends", &plan, &outcome);
+        assert!(outcome.shut_out * 1000 < outcome.innocent, "{outcome:?}");
+    }
+}
+
+fn digest(number: u64) -> RequestDigest {
+    RequestDigest::of(&RequestIdentity {
+        caller: "caller",
+        method: "GET",
+        host: "host",
+        target: "/",
+        body: &number.to_le_bytes(),
+    })
+}
+
+fn life(number: u64) -> LifeId {
+    LifeId::of(&BackEndEntry {
+        id: "b".to_owned(),
+        born: number,
+        address: SocketAddr::from(([10, 0, 0, 1], 80)),
+        labels: HashMap::new().into_iter().collect(),
+        slots: 1,
+        leaving: false,
+        cold_for: Duration::ZERO,
+        revision: 1,
+    })
+}
+
+/// A quarantine in which request 1 is set aside.
+fn convicted() -> Quarantine {
+    let mut quarantine = Quarantine::default();
+    for number in 1..=3 {
+        quarantine.on_death(digest(1), life(number), number > 1, NOW);
+    }
+    quarantine
+}
+
+#[test]
+fn treatment_follows_deaths_and_trials() {
+    let mut quarantine = Quarantine::default();
+    let request = digest(1);
+    let mut seen = vec![quarantine.treatment(request, NOW)];
+    for (number, on_trial) in [
+        (1, false),
+        (1, false),
+        (2, false),
+        (3, false),
+        (4, true),
+        (5, true),
+    ] {
+        quarantine.on_death(request, life(number), on_trial, NOW);
+        seen.push(quarantine.treatment(request, NOW));
+    }
+    let expected = [
+        Treatment::Usual,
+        Treatment::Watched,
+        Treatment::Watched,
+        Treatment::Trial,
+        Treatment::Trial,
+        Treatment::Trial,
+        Treatment::SetAside,
+    ];
+    assert_eq!(seen, expected);
+}
+
+#[test]
+fn a_good_run_clears_and_the_next_deaths_count_from_none() {
+    let mut quarantine = convicted();
+    let change = quarantine.on_good_run(digest(1), NOW).expect("a change");
+    assert_eq!(
+        (change.before, change.now),
+        (Treatment::SetAside, Treatment::Usual)
+    );
+    assert_eq!(quarantine.to_drop(), [digest(1)], "the store is told");
+    quarantine.on_death(digest(1), life(4), true, NOW);
+    assert_eq!(quarantine.treatment(digest(1), NOW), Treatment::Watched);
+}
+
+/// Whatever is told how often and in whichever order, all routers believe the same in the end.
+#[test]
+fn news_merges_in_any_order() {
+    let mut random = ChaCha8Rng::seed_from_u64(9);
+    for _ in 0..200 {
+        let mut routers = vec![Quarantine::default(); 4];
+        let mut told: Vec<RecordNews> = Vec::new();
+        for _ in 0..random.random_range(1..12) {
+            let router = random.random_range(0..4);
+            let request = digest(random.random_range(0..2));
+            if random.random_bool(0.2) {
+                routers[router].on_good_run(request, NOW);
+            } else {
+                let life = life(random.random_range(0..6));
+                routers[router].on_death(request, life, random.random_bool(0.5), NOW);
+            }
+            told.extend(routers[router].told(NOW));
+        }
+        for router in &mut routers {
+            for _ in 0..2 * told.len() {
+                let news = told[random.random_range(0..told.len())].clone();
+                router.merge(&[news], 0.0, NOW);
+            }
+            router.merge(&told, 0.0, NOW);
+        }
+        for request in [digest(0), digest(1)] {
+            let treatments: Vec<_> = routers
+                .iter_mut()
+                .map(|router| router.treatment(request, NOW))
+                .collect();
+            assert!(
+                treatments.windows(2).all(|pair| pair[0] == pair[1]),
+                "{treatments:?}"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_verdict_is_stored_by_who_made_it_and_later_by_who_heard() {
+    let mut own = convicted();
+    let verdict = StoredVerdict {
+        digest: digest(1),
+        epoch: 0,
+    };
+    assert_eq!(own.to_store(NOW), [verdict]);
+    let mut other = Quarantine::default();
+    other.merge(&own.told(NOW), 1.0, NOW);
+    assert!(other.to_store(NOW + SECOND).is_empty());
+    assert_eq!(other.to_store(NOW + SECOND * 3), [verdict], "if nobody did");
+    own.on_stored(&[verdict], &[], NOW + SECOND);
+    assert!(own.to_store(NOW + SECOND * 9).is_empty());
+    other.merge(&own.told(NOW + SECOND), 1.0, NOW + SECOND);
+    assert!(other.to_store(NOW + SECOND * 9).is_empty());
+}
+
+#[test]
+fn a_router_that_starts_takes_verdicts_from_the_store() {
+    let verdict = StoredVerdict {
+        digest: digest(1),
+        epoch: 3,
+    };
+    let mut started = Quarantine::default();
+    started.take_stored(&[verdict], NOW, NOW);
+    assert_eq!(started.treatment(digest(1), NOW), Treatment::SetAside);
+    assert!(started.to_store(NOW + SECOND * 9).is_empty());
+}
+
+#[test]
+fn an_operator_lifts_a_verdict_by_dropping_it_from_the_store() {
+    let mut quarantine = convicted();
+    let verdict = StoredVerdict {
+        digest: digest(1),
+        epoch: 0,
+    };
+    quarantine.take_stored(&[], NOW, NOW);
+    assert_eq!(
+        quarantine.treatment(digest(1), NOW),
+        Treatment::SetAside,
+        "not stored yet"
+    );
+    quarantine.on_stored(&[verdict], &[], NOW + SECOND);
+    quarantine.take_stored(&[], NOW, NOW + SECOND);
+    assert_eq!(
+        quarantine.treatment(digest(1), NOW),
+        Treatment::SetAside,
+        "read before it was stored"
+    );
+    quarantine.take_stored(&[], NOW + SECOND * 2, NOW + SECOND * 2);
+    assert_eq!(quarantine.treatment(digest(1), NOW), Treatment::Usual);
+    let mut other = convicted();
+    other.merge(&quarantine.told(NOW + SECOND * 2), 0.0, NOW + SECOND * 2);
+    assert_eq!(
+        other.treatment(digest(1), NOW),
+        Treatment::Usual,
+        "others hear of it"
+    );
+}
+
+#[test]
+fn an_outdated_verdict_in_the_store_is_dropped() {
+    let mut quarantine = convicted();
+    quarantine.on_good_run(digest(1), NOW);
+    let verdict = StoredVerdict {
+        digest: digest(1),
+        epoch: 0,
+    };
+    quarantine.on_stored(&[], &[digest(1)], NOW);
+    quarantine.take_stored(&[verdict], NOW, NOW);
+    assert_eq!(quarantine.treatment(digest(1), NOW), Treatment::Usual);
+    assert_eq!(quarantine.to_drop(), [digest(1)]);
+}
+
+/// Whoever ends back ends with ever new requests fills the table, and pushes no verdict out.
+#[test]
+fn a_flood_of_requests_pushes_no_verdict_out() {
+    let mut quarantine = convicted();
+    for number in 10..10_000 {
+        quarantine.on_death(digest(number), life(number), true, NOW + SECOND);
+    }
+    assert_eq!(
+        quarantine.treatment(digest(1), NOW + SECOND),
+        Treatment::SetAside
+    );
+}
+
+#[test]
+fn records_without_a_verdict_are_forgotten() {
+    let mut quarantine = convicted();
+    quarantine.on_death(digest(2), life(1), false, NOW);
+    quarantine.expire(NOW + SECOND * 599);
+    assert_eq!(
+        quarantine.treatment(digest(2), NOW + SECOND * 599),
+        Treatment::Watched
+    );
+    quarantine.expire(NOW + SECOND * 1200);
+    assert_eq!(
+        quarantine.treatment(digest(2), NOW + SECOND * 1200),
+        Treatment::Usual
+    );
+    assert_eq!(
+        quarantine.treatment(digest(1), NOW + SECOND * 1200),
+        Treatment::SetAside
+    );
+}
+
+#[test]
+fn a_broken_run_counts_only_once_its_back_end_is_known_to_have_ended() {
+    let mut runs = BrokenRuns::default();
+    let run = |number, at| BrokenRun {
+        digest: digest(number),
+        id: number.to_string(),
+        on_trial: false,
+        at,
+    };
+    runs.note(life(1), run(1, NOW));
+    runs.note(life(1), run(2, NOW + SECOND));
+    runs.note(life(2), run(3, NOW));
+    assert!(!runs.has_ended(life(1)));
+    let broken = runs.on_ended(life(1), NOW + SECOND * 8);
+    assert_eq!(
+        broken,
+        [run(2, NOW + SECOND)],
+        "the first is too old to be its doing"
+    );
+    assert!(runs.has_ended(life(1)) && !runs.is_waiting(life(1)) && runs.is_waiting(life(2)));
+    runs.expire(NOW + SECOND * 30);
+    assert!(!runs.has_ended(life(1)) && !runs.is_waiting(life(2)));
+}
--- a/crates/stacktack-core/tests/slow_start.rs
+++ b/crates/stacktack-core/tests/slow_start.rs
@@ -164,6 +164,7 @@
 fn entry(cold_for: Duration, revision: u64) -> BackEndEntry {
     BackEndEntry {
         id: "b".to_owned(),
+        born: 0,
         address: address(9),
         labels: Labels::from([("zone".to_owned(), "z".to_owned())]),
         slots: 64,
--- a/crates/stacktack-core/tests/suspicion.rs
+++ b/crates/stacktack-core/tests/suspicion.rs
@@ -64,6 +64,7 @@
     for number in 0..size {
         let entry = BackEndEntry {
             id: format!("b{number}"),
+            born: 0,
             address: SocketAddr::from(([127, 0, 0, 1], 9)),
             labels: Labels::new(),
             slots: 4,
--- a/crates/stacktack-direct/src/admission.rs
+++ b/crates/stacktack-direct/src/admission.rs
@@ -1,5 +1,6 @@
 //! From a caller's request head to an exchange, or an early refusal.
 
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Instant;
@@ -9,6 +10,7 @@
 use hyper::http::request;
 use hyper::{Request, Response};
 use rand::Rng;
+use stacktack_core::direct::quarantine::record::Treatment;
 use stacktack_core::direct::request::attempt::AttemptLedger;
 use stacktack_core::direct::traffic::route::{Route, Tenant, TrafficConfiguration};
 use tokio::time::timeout_at;
@@ -16,6 +18,7 @@
 use crate::answer::AnswerBody;
 use crate::exchange::{Exchange, Outcome};
 use crate::ports::{CallerRequest, RefusalKind};
+use crate::quarantine::digest_of;
 use crate::respond::{refuse_early, respond};
 use crate::router::{Phase, Router};
 
@@ -75,6 +78,16 @@
         Ok(Err(_)) => return Err(refused(RefusalKind::Malformed)),
         Err(_) => return Err(refused(RefusalKind::BodyTimeout)),
     };
+    let digest = OnceCell::new();
+    let treatment =
+        router.treatment(|| *digest.get_or_init(|| digest_of(&head, &body, tenant.as_deref())));
+    if treatment == Treatment::SetAside {
+        if let Some(digest) = digest.get() {
+            log::info!(target: "quarantine", "id={id_text} request={digest} refused=true");
+        }
+        // Before it counts for the pool: it earns no repeat.
+        return Err(refused(RefusalKind::SetAside));
+    }
     let target = route.draw_target(rand::rng().next_u32());
     router.count_request(&route.targets[target].back_ends);
     router.exchanges.set(router.exchanges.get() + 1);
@@ -90,6 +103,8 @@
         version,
         started,
         limit,
+        digest,
+        look: None,
         ledger: AttemptLedger::default(),
         in_doubt: false,
         tried: Vec::new(),
--- a/crates/stacktack-direct/src/answer.rs
+++ b/crates/stacktack-direct/src/answer.rs
@@ -261,7 +261,7 @@
         } else {
             attempt.on_failure();
         }
-        exchange.note_broken_run(&attempt, failure);
+        exchange.look = exchange.note_broken_run(&attempt, failure);
         drop(attempt);
         let Some(splitter) = &mut self.splitter else {
             exchange.note_failure(failure, "-");
@@ -295,6 +295,7 @@
         {
             exchange.outcome = outcome;
             if matches!(outcome, Outcome::Answered(_)) {
+                exchange.note_good_run();
                 attempt.on_whole();
                 attempt.finish();
             }
--- a/crates/stacktack-direct/src/app.rs
+++ b/crates/stacktack-direct/src/app.rs
@@ -14,12 +14,13 @@
 use tokio::time::{sleep, sleep_until, Instant};
 
 use crate::followers::{
-    follow_configuration, follow_directory, follow_peers, follow_zone_drains, Dependency,
+    follow_configuration, follow_directory, follow_peers, follow_verdicts, follow_zone_drains,
+    Dependency,
 };
 use crate::knowledge::{answer_peer, HttpPeers};
 use crate::metrics::DirectMetrics;
 use crate::news;
-use crate::ports::{ConfigurationSource, Directory, Protocol};
+use crate::ports::{ConfigurationSource, Directory, Protocol, VerdictStore};
 use crate::router::{Phase, Router};
 use crate::server::{accept_callers, listen, serve_small};
 use crate::settings::{DirectSettings, SettingsSource};
@@ -69,6 +70,8 @@
     pub configuration: Rc<dyn ConfigurationSource>,
     /// Directory of back ends.
     pub directory: Rc<dyn Directory>,
+    /// Where verdicts on requests last.
+    pub verdicts: Rc<dyn VerdictStore>,
     /// Settings that may change.
     pub settings: Rc<dyn SettingsSource>,
 }
@@ -100,6 +103,11 @@
         ports.directory,
         store.clone(),
     ));
+    actix_rt::spawn(follow_verdicts(
+        router.clone(),
+        ports.verdicts,
+        store.clone(),
+    ));
     actix_rt::spawn(news::receive(router.clone(), socket.clone()));
     actix_rt::spawn(follow_peers(
         router.clone(),
@@ -175,6 +183,7 @@
         let now = router.now();
         router.places.borrow_mut().expire(now);
         router.broken_runs.borrow_mut().expire(now);
+        router.quarantine.borrow_mut().expire(now);
         router.log_loads();
     }
 }
--- a/crates/stacktack-direct/src/attempt.rs
+++ b/crates/stacktack-direct/src/attempt.rs
@@ -9,6 +9,7 @@
 use hyper::http::response;
 use hyper::Response;
 use stacktack_core::direct::back_ends::back_end::BackEnd;
+use stacktack_core::direct::back_ends::directory::{LifeId, VanishedLife};
 use stacktack_core::direct::request::attempt::AttemptFailure;
 
 use crate::client::ClientConnection;
@@ -50,6 +51,10 @@
     pool: String,
     /// Load of the back end when it was chosen.
     load: f64,
+    /// The life of the back end that it was sent to.
+    pub(crate) life: LifeId,
+    /// Whether it runs on trial.
+    pub(crate) on_trial: bool,
     written: Instant,
     rest_seconds: Option<u64>,
 }
@@ -58,11 +63,12 @@
     /// Counts the attempt at its back end; `None` if that is not known any more.
     pub fn begin(router: Rc<Router>, back_end: &str, pool: &str, load: f64) -> Option<Self> {
         let now = router.now();
-        let (address, slots) = {
+        let (address, slots, life) = {
             let mut back_ends = router.back_ends.borrow_mut();
             let known = back_ends.get_mut(back_end)?;
             known.on_send(now);
-            (known.entry.address, known.entry.slots)
+            let life = LifeId::of(&known.entry);
+            (known.entry.address, known.entry.slots, life)
         };
         Some(Attempt {
             router,
@@ -71,14 +77,28 @@
             slots,
             pool: pool.to_owned(),
             load,
+            life,
+            on_trial: false,
             connection: None,
             written: Instant::now(),
             rest_seconds: None,
         })
     }
 
+    /// Runs on trial: no other suspect goes to its back end meanwhile.
+    pub(crate) fn put_on_trial(&mut self) {
+        self.on_trial = true;
+        self.router
+            .trials
+            .borrow_mut()
+            .insert(self.back_end.clone());
+    }
+
+    /// Changes what is believed of its back end, unless that has begun another life since.
     fn with_back_end(&self, act: impl FnOnce(&mut BackEnd)) {
-        if let Some(back_end) = self.router.back_ends.borrow_mut().get_mut(&self.back_end) {
+        let mut back_ends = self.router.back_ends.borrow_mut();
+        let known = back_ends.get_mut(&self.back_end);
+        if let Some(back_end) = known.filter(|known| LifeId::of(&known.entry) == self.life) {
             act(back_end);
         }
     }
@@ -167,6 +187,11 @@
             back_end.on_replaced();
         });
         log::info!(target: "belief", "back_end={} replaced=true cause=other_instance", self.back_end);
+        let vanished = VanishedLife {
+            back_end: self.back_end.clone(),
+            life: self.life,
+        };
+        self.router.on_vanished(&[vanished]);
     }
 
     /// The answer is whole: the connection may serve another request.
@@ -184,6 +209,9 @@
 impl Drop for Attempt {
     fn drop(&mut self) {
         let now = self.router.now();
+        if self.on_trial {
+            self.router.trials.borrow_mut().remove(&self.back_end);
+        }
         self.with_back_end(|back_end| back_end.load.on_end(now));
     }
 }
--- a/crates/stacktack-direct/src/back_end_end.rs
+++ b/crates/stacktack-direct/src/back_end_end.rs
@@ -7,6 +7,7 @@
 
 use futures_util::future::{LocalBoxFuture, Shared};
 use futures_util::FutureExt;
+use stacktack_core::direct::back_ends::directory::{LifeId, VanishedLife};
 use stacktack_core::direct::quarantine::broken_runs::BrokenRun;
 use stacktack_core::direct::request::attempt::AttemptFailure;
 use stacktack_core::time::Time;
@@ -28,72 +29,92 @@
 /// Requests that one log line names.
 const NAMED: usize = 12;
 
-/// A look that is under way or was just done.
+/// A look that is under way or was just done, and its end.
 pub(crate) struct Look {
     begun: Time,
-    done: Shared<LocalBoxFuture<'static, ()>>,
+    done: LookEnd,
+}
+
+/// Resolves when a look is over.
+pub(crate) type LookEnd = Shared<LocalBoxFuture<'static, ()>>;
+
+/// A back end as a look finds it.
+#[derive(Clone, Debug)]
+struct Subject {
+    id: String,
+    life: LifeId,
+    address: SocketAddr,
 }
 
 impl Exchange {
-    /// A run broke off or fell silent. What ran it may have ended.
-    pub(crate) fn note_broken_run(&self, attempt: &Attempt, failure: AttemptFailure) {
+    /// A run broke off or fell silent: what ran it may have ended. Returns the look at that,
+    /// if there is one.
+    pub(crate) fn note_broken_run(
+        &self,
+        attempt: &Attempt,
+        failure: AttemptFailure,
+    ) -> Option<LookEnd> {
         if !matches!(failure, AttemptFailure::Broken | AttemptFailure::Silent) {
-            return;
+            return None;
         }
         let run = BrokenRun {
             digest: self.digest(),
             id: self.id.clone(),
-            on_trial: false,
+            on_trial: attempt.on_trial,
             at: self.router.now(),
         };
-        let back_end = &attempt.back_end;
-        self.router.broken_runs.borrow_mut().note(back_end, run);
-        if self.router.broken_runs.borrow().has_ended(back_end) {
-            self.router.on_back_end_ended(back_end, "seen_before");
-        } else if failure == AttemptFailure::Broken {
-            actix_rt::spawn(look_at(&self.router, back_end, attempt.address));
+        let life = attempt.life;
+        self.router.broken_runs.borrow_mut().note(life, run);
+        let has_ended = self.router.broken_runs.borrow().has_ended(life);
+        if has_ended {
+            self.router
+                .on_back_end_ended(&attempt.back_end, life, "seen_before");
+            return None;
         }
+        let subject = Subject {
+            id: attempt.back_end.clone(),
+            life,
+            address: attempt.address,
+        };
+        (failure == AttemptFailure::Broken).then(|| look_at(&self.router, subject))
     }
 }
 
 /// Looks whether a back end still accepts connections; one look serves all who ask at
-/// about the same time.
-pub(crate) fn look_at(
-    router: &Rc<Router>,
-    back_end: &str,
-    address: SocketAddr,
-) -> Shared<LocalBoxFuture<'static, ()>> {
+/// about the same time, and goes on when they leave.
+fn look_at(router: &Rc<Router>, subject: Subject) -> LookEnd {
     let now = router.now();
     let mut looks = router.looks.borrow_mut();
     looks.retain(|_, look| now.since(look.begun) < LOOK_AGAIN);
-    let look = looks.entry(back_end.to_owned()).or_insert_with(|| Look {
-        begun: now,
-        done: look(router.clone(), back_end.to_owned(), address)
-            .boxed_local()
-            .shared(),
+    let known = looks.entry(subject.life).or_insert_with(|| {
+        let done = look(router.clone(), subject).boxed_local().shared();
+        actix_rt::spawn(done.clone());
+        Look { begun: now, done }
     });
-    look.done.clone()
+    known.done.clone()
 }
 
-async fn look(router: Rc<Router>, back_end: String, address: SocketAddr) {
-    let connected = timeout(LOOK_LIMIT, TcpStream::connect(address)).await;
+async fn look(router: Rc<Router>, subject: Subject) {
+    let connected = timeout(LOOK_LIMIT, TcpStream::connect(subject.address)).await;
+    let id = &subject.id;
     match connected {
         Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
-            router.on_back_end_ended(&back_end, "refused");
+            router.on_back_end_ended(id, subject.life, "refused");
         }
-        Ok(Ok(_)) => log::info!(target: "ended", "back_end={back_end} ended=false cause=accepts"),
+        Ok(Ok(_)) => log::info!(target: "ended", "back_end={id} ended=false cause=accepts"),
         Ok(Err(error)) => {
-            log::info!(target: "ended", "back_end={back_end} ended=unknown cause=\"{error}\"");
+            log::info!(target: "ended", "back_end={id} ended=unknown cause=\"{error}\"");
         }
-        Err(_) => log::info!(target: "ended", "back_end={back_end} ended=unknown cause=no_answer"),
+        Err(_) => log::info!(target: "ended", "back_end={id} ended=unknown cause=no_answer"),
     }
 }
 
 impl Router {
-    /// It showed that a back end ended.
-    pub(crate) fn on_back_end_ended(&self, back_end: &str, cause: &str) {
+    /// It showed that a life of a back end ended: what broke off there counts against the
+    /// requests that it was running.
+    pub(crate) fn on_back_end_ended(&self, back_end: &str, life: LifeId, cause: &'static str) {
         let now = self.now();
-        let runs = self.broken_runs.borrow_mut().on_ended(back_end, now);
+        let runs = self.broken_runs.borrow_mut().on_ended(life, now);
         let named: Vec<String> = runs
             .iter()
             .take(NAMED)
@@ -105,13 +126,32 @@
             runs.len(),
             named.join(","),
         );
+        self.metrics.count_ended(cause);
+        if self.is_leaving(back_end) {
+            // A planned end is nobody's doing.
+            return;
+        }
+        for run in runs {
+            let mut quarantine = self.quarantine.borrow_mut();
+            let change = quarantine.on_death(run.digest, life, run.on_trial, now);
+            drop(quarantine);
+            self.note_treatment(change, "own");
+        }
+    }
+
+    fn is_leaving(&self, back_end: &str) -> bool {
+        let back_ends = self.back_ends.borrow();
+        let known = back_ends.get(back_end);
+        known.is_some_and(|known| known.entry.leaving)
     }
 
-    /// Entries vanished from the directory: where runs had broken off, the back ends ended.
-    pub(crate) fn on_vanished(&self, back_ends: &[String]) {
-        for back_end in back_ends {
-            if self.broken_runs.borrow().is_waiting(back_end) {
-                self.on_back_end_ended(back_end, "vanished");
+    /// Entries vanished from the directory, or tell of another life: where runs had broken
+    /// off, the lives that they were known under have ended.
+    pub(crate) fn on_vanished(&self, vanished: &[VanishedLife]) {
+        for VanishedLife { back_end, life } in vanished {
+            let waiting = self.broken_runs.borrow().is_waiting(*life);
+            if waiting {
+                self.on_back_end_ended(back_end, *life, "vanished");
             }
         }
     }
--- a/crates/stacktack-direct/src/choice.rs
+++ b/crates/stacktack-direct/src/choice.rs
@@ -10,7 +10,7 @@
 use stacktack_core::direct::back_ends::standing::Standing;
 use stacktack_core::direct::back_ends::suspicion::RequestRisk;
 use stacktack_core::direct::choice::select::{
-    likely_holder, select_by_affinity, select_by_load, SelectBounds, Selection,
+    likely_holder, select_by_affinity, select_by_load, DirectCandidate, SelectBounds, Selection,
 };
 use stacktack_core::direct::peers::peer_news::ShortId;
 
@@ -37,6 +37,29 @@
 }
 
 impl Choice {
+    /// The choice of a trial: no load and no prompt part decided it.
+    pub(crate) fn for_trial(
+        candidate: &DirectCandidate,
+        mean: f64,
+        load_age: Option<Duration>,
+        back_end: String,
+    ) -> Self {
+        Choice {
+            back_end,
+            selection: Selection {
+                index: candidate.index,
+                load: candidate.load,
+                limit: candidate.limit,
+                mean,
+                rank: 0,
+                home: None,
+            },
+            standing: candidate.standing,
+            load_age,
+            pool_load: None,
+        }
+    }
+
     /// Age of the load for logs, in milliseconds.
     pub(crate) fn load_age_text(&self) -> String {
         self.load_age
@@ -87,7 +110,7 @@
     }
 
     /// What a failure of the next attempt costs.
-    fn risk(&self) -> RequestRisk {
+    pub(crate) fn risk(&self) -> RequestRisk {
         if self.may_repeat_next() {
             RequestRisk::Repeatable
         } else {
--- a/crates/stacktack-direct/src/exchange.rs
+++ b/crates/stacktack-direct/src/exchange.rs
@@ -1,5 +1,7 @@
 //! One caller's request, from its head to the head of its answer.
 
+use std::cell::OnceCell;
+use std::future::Future;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -9,12 +11,14 @@
 use hyper::http::request;
 use hyper::Response;
 use stacktack_core::configuration::selector::Requirement;
-use stacktack_core::direct::quarantine::digest::{RequestDigest, RequestIdentity};
+use stacktack_core::direct::quarantine::digest::RequestDigest;
+use stacktack_core::direct::quarantine::record::Treatment;
 use stacktack_core::direct::request::attempt::{AttemptFailure, AttemptLedger};
 use stacktack_core::direct::traffic::route::{Route, Tenant};
 use tokio::time::timeout_at;
 
 use crate::attempt::{Attempt, AttemptEnd, StoredAnswer};
+use crate::back_end_end::LookEnd;
 use crate::held::HeldAnswer;
 use crate::ports::{CallerRequest, RefusalKind};
 use crate::router::Router;
@@ -66,7 +70,11 @@
     pub(crate) version: u64,
     pub(crate) started: Instant,
     pub(crate) limit: Instant,
+    /// Which request it is; worked out when it first matters.
+    pub(crate) digest: OnceCell<RequestDigest>,
     pub(crate) ledger: AttemptLedger,
+    /// The look at whether the last attempt's back end ended.
+    pub(crate) look: Option<LookEnd>,
     /// Whether an attempt is under way that may run.
     pub(crate) in_doubt: bool,
     pub(crate) tried: Vec<String>,
@@ -112,36 +120,12 @@
     }
 }
 
-/// Which request a head, a body and a caller make.
-pub(crate) fn digest_of(
-    head: &request::Parts,
-    body: &[u8],
-    tenant: Option<&Tenant>,
-) -> RequestDigest {
-    let host = head.headers.get(hyper::header::HOST);
-    RequestDigest::of(&RequestIdentity {
-        caller: tenant.map_or("", |tenant| tenant.name.as_str()),
-        method: head.method.as_str(),
-        host: host.and_then(|host| host.to_str().ok()).unwrap_or(""),
-        target: head
-            .uri
-            .path_and_query()
-            .map_or("/", |target| target.as_str()),
-        body,
-    })
-}
-
 impl Exchange {
     /// Conditions on the back ends that may serve the request.
     pub(crate) fn pool(&self) -> &[Requirement] {
         &self.route.targets[self.target].back_ends
     }
 
-    /// Which request it is, whatever id this try of it has.
-    pub(crate) fn digest(&self) -> RequestDigest {
-        digest_of(&self.head, &self.body, self.tenant.as_deref())
-    }
-
     /// Rank among requests to the same pool; a tenant's goes before its route's.
     pub(crate) fn priority(&self) -> u8 {
         let tenant = self.tenant.as_deref();
@@ -153,7 +137,14 @@
     /// Sends the request until an answer can go to the caller.
     pub(crate) async fn run(&mut self) -> ExchangeEnd {
         let limit = self.limit;
-        match timeout_at(limit.into(), self.attempts()).await {
+        let verdict = self.verdict();
+        let attempts = timeout_at(limit.into(), self.attempts());
+        let ended = tokio::select! {
+            biased;
+            ended = attempts => ended,
+            () = verdict => return ExchangeEnd::Refused(self.refusal_kind()),
+        };
+        match ended {
             Ok(Ok((answer, attempt))) => ExchangeEnd::Answer(answer, attempt),
             Ok(Err(Some(last))) => ExchangeEnd::FailedAnswer(last),
             Ok(Err(None)) => ExchangeEnd::Refused(self.refusal_kind()),
@@ -164,6 +155,19 @@
         }
     }
 
+    /// Resolves when the request is set aside: a run that waits in a back end's queue is
+    /// withdrawn before it begins. Does not look while nothing speaks against any request.
+    fn verdict(&self) -> impl Future<Output = ()> {
+        let is_empty = self.router.quarantine.borrow().is_empty();
+        let watched = (!is_empty).then(|| (self.router.clone(), self.digest()));
+        async move {
+            match watched {
+                Some((router, digest)) => router.until_set_aside(digest).await,
+                None => std::future::pending().await,
+            }
+        }
+    }
+
     /// Attempts until one gives an answer; else the last failed answer.
     async fn attempts(&mut self) -> Result<(HeldAnswer, Attempt), Option<StoredAnswer>> {
         let mut stored = None;
@@ -179,7 +183,7 @@
                 }
                 AttemptEnd::NoBackEnd | AttemptEnd::NoRoom => return Err(stored),
             }
-            if !self.may_try_again() {
+            if !self.may_try_again().await {
                 return Err(stored);
             }
         }
@@ -202,20 +206,28 @@
         );
     }
 
-    /// Whether ledger and budget allow one more send.
-    fn may_try_again(&self) -> bool {
+    /// Whether ledger and budget allow one more send. A suspect gets none: repeats are earned
+    /// by all, and one more run of it may end one more back end.
+    async fn may_try_again(&mut self) -> bool {
         if !self
             .ledger
             .may_send_again(self.route.kind, self.route.max_attempts)
         {
             return false;
         }
+        if let Some(look) = self.look.take() {
+            // Whether its back end ended counts for how it is treated: 2 to 6 ms in a region.
+            look.await;
+        }
+        if self.treatment() >= Treatment::Trial {
+            return false;
+        }
         !self.ledger.has_arrived() || self.router.take_retry(&self.id, self.pool())
     }
 
     /// Streams are passed on at once, other answers when they are whole.
     async fn hold(
-        &self,
+        &mut self,
         response: Response<Incoming>,
         attempt: Attempt,
     ) -> Result<(HeldAnswer, Attempt), AttemptFailure> {
@@ -226,7 +238,7 @@
             Ok(answer) => Ok((answer, attempt)),
             Err(failure) => {
                 attempt.on_failure();
-                self.note_broken_run(&attempt, failure);
+                self.look = self.note_broken_run(&attempt, failure);
                 Err(failure)
             }
         }
@@ -236,8 +248,12 @@
     fn refusal_kind(&self) -> RefusalKind {
         if self.ledger.may_have_run && Instant::now() >= self.limit {
             RefusalKind::TimeOver
-        } else if self.ledger.may_have_run {
+        } else if self.ledger.may_have_run || self.in_doubt {
             RefusalKind::Lost
+        } else if self.treatment() == Treatment::SetAside {
+            RefusalKind::SetAside
+        } else if self.treatment() == Treatment::Trial {
+            RefusalKind::OnTrial
         } else if self.come_back.is_some() {
             RefusalKind::Busy
         } else if self.ledger.sends > 0 {
@@ -259,7 +275,7 @@
         let mut failure = failure;
         loop {
             self.note_failure(failure, after.unwrap_or("-"));
-            if !self.may_try_again() {
+            if !self.may_try_again().await {
                 return None;
             }
             match self.attempt(after).await {
--- a/crates/stacktack-direct/src/followers/directory.rs
+++ b/crates/stacktack-direct/src/followers/directory.rs
@@ -186,6 +186,7 @@
 fn report(router: &Router, change: &DirectoryChange, revision: u64) {
     let lists = [
         ("joined", &change.joined),
+        ("reborn", &change.reborn),
         ("leaving", &change.leaving),
         ("gone", &change.gone),
     ];
@@ -194,8 +195,8 @@
             log::info!(target: "directory", "back_end={id} now={word} revision={revision}");
         }
     }
-    router.on_vanished(&change.gone);
-    for id in &change.gone {
+    router.on_vanished(&change.vanished);
+    for id in change.gone.iter().chain(&change.reborn) {
         router.places.borrow_mut().forget_back_end(id);
     }
 }
--- a/crates/stacktack-direct/src/followers/mod.rs
+++ b/crates/stacktack-direct/src/followers/mod.rs
@@ -3,17 +3,20 @@
 //!
 //! Two ask the same store, so that what one of them learns of it counts for the other:
 //! how late it answers, and that it is back. A third asks peers that know more,
-//! a fourth reads drains of zones that the first passed over.
+//! a fourth reads drains of zones that the first passed over, a fifth keeps verdicts on requests
+//! that end back ends.
 
 mod configuration;
 mod dependency;
 mod directory;
 mod pause;
 mod peers;
+mod verdicts;
 mod zone_drains;
 
 pub use configuration::follow_configuration;
 pub use dependency::Dependency;
 pub use directory::{follow_directory, take_delta};
 pub use peers::follow_peers;
+pub use verdicts::follow_verdicts;
 pub use zone_drains::follow_zone_drains;
--- /dev/null
+++ b/crates/stacktack-direct/src/followers/verdicts.rs
@@ -0,0 +1,129 @@
+//! Verdicts on requests that end back ends, in the store: it tells routers that start when
+//! nobody is left to tell them, and operators lift a verdict there.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::RngExt;
+use stacktack_core::direct::quarantine::TreatmentChange;
+use stacktack_core::time::Time;
+use tokio::time::sleep;
+
+use super::dependency::Dependency;
+use super::pause::Pause;
+use crate::ports::{SourceError, VerdictStore};
+use crate::router::Router;
+use crate::transfer::{while_moving, Transfer};
+
+/// Time between looks at whether something is to be written or read.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// Time between reads of all verdicts, give or take a quarter: how soon one that an operator lifts
+/// is lifted, at one call a minute and router.
+const READ_AGAIN: Duration = Duration::from_secs(60);
+
+/// The same while most peers are silent: what they know comes over the store only.
+const READ_ALONE: Duration = Duration::from_secs(1);
+
+/// Writes and reads verdicts, for ever.
+pub async fn follow_verdicts(
+    router: Rc<Router>,
+    source: Rc<dyn VerdictStore>,
+    store: Rc<Dependency>,
+) {
+    let mut follower = VerdictFollower {
+        router,
+        source,
+        store,
+        read_due: Time(0),
+        last_read: Time(0),
+        pause: Pause::new(),
+    };
+    loop {
+        let done = follower.step().await;
+        let pause = match done {
+            Ok(()) => {
+                follower.pause.reset();
+                LOOK
+            }
+            Err(error) => {
+                log::info!(target: "quarantine", "store=failed cause=\"{error}\"");
+                follower.pause.take(&follower.router)
+            }
+        };
+        sleep(pause).await;
+    }
+}
+
+struct VerdictFollower {
+    router: Rc<Router>,
+    source: Rc<dyn VerdictStore>,
+    store: Rc<Dependency>,
+    /// When to read again.
+    read_due: Time,
+    /// When the last read began.
+    last_read: Time,
+    pause: Pause,
+}
+
+impl VerdictFollower {
+    async fn step(&mut self) -> Result<(), SourceError> {
+        self.write().await?;
+        let now = self.router.now();
+        let alone = self.router.peers.borrow().misses_many();
+        let due_alone = alone && now.since(self.last_read) >= READ_ALONE;
+        if now >= self.read_due || due_alone {
+            self.read(now).await?;
+        }
+        Ok(())
+    }
+
+    async fn write(&self) -> Result<(), SourceError> {
+        let (stored, dropped) = {
+            let quarantine = self.router.quarantine.borrow();
+            (quarantine.to_store(self.router.now()), quarantine.to_drop())
+        };
+        if stored.is_empty() && dropped.is_empty() {
+            return Ok(());
+        }
+        let transfer = Transfer::begin();
+        let call = self
+            .source
+            .change_verdicts(&stored, &dropped, transfer.clone());
+        while_moving(call, &transfer, self.store.patience(false)).await?;
+        log::info!(
+            target: "quarantine",
+            "store=written verdicts={} dropped={} ms={}",
+            stored.len(),
+            dropped.len(),
+            transfer.elapsed().as_millis(),
+        );
+        let now = self.router.now();
+        let mut quarantine = self.router.quarantine.borrow_mut();
+        quarantine.on_stored(&stored, &dropped, now);
+        Ok(())
+    }
+
+    async fn read(&mut self, begun: Time) -> Result<(), SourceError> {
+        let transfer = Transfer::begin();
+        let call = self.source.verdicts(transfer.clone());
+        let verdicts = while_moving(call, &transfer, self.store.patience(false)).await?;
+        let now = self.router.now();
+        let mut quarantine = self.router.quarantine.borrow_mut();
+        let changes: Vec<TreatmentChange> = quarantine.take_stored(&verdicts, begun, now);
+        drop(quarantine);
+        log::info!(
+            target: "quarantine",
+            "store=read verdicts={} changes={} ms={}",
+            verdicts.len(),
+            changes.len(),
+            transfer.elapsed().as_millis(),
+        );
+        for change in changes {
+            self.router.note_treatment(Some(change), "store");
+        }
+        self.last_read = begun;
+        self.read_due = now + READ_AGAIN.mul_f64(rand::rng().random_range(0.75..=1.25));
+        Ok(())
+    }
+}
--- a/crates/stacktack-direct/src/knowledge.rs
+++ b/crates/stacktack-direct/src/knowledge.rs
@@ -22,7 +22,7 @@
 
 /// Path of the documents that peers fetch, with the version of their layout: a router that
 /// reads another layout gets 404 and not rows that mean something else to it.
-const PATH: &str = "/knowledge/2";
+const PATH: &str = "/knowledge/3";
 
 /// Names in its query.
 const VERSION: &str = "version";
--- a/crates/stacktack-direct/src/lib.rs
+++ b/crates/stacktack-direct/src/lib.rs
@@ -11,8 +11,8 @@
 //! - `server`: callers' connections. `connection`: back-end connections.
 //! - `admission`, `exchange`, `sending`, `choice`, `attempt`: one request from
 //!   head to end; `room`: whether its pool and the router take it; `back_end_end`: whether
-//!   what broke an attempt was the end of its back end. `held`, `respond`, `answer`: answers on their way to callers.
-//! - [`followers`]: configuration and directory. `news`: what routers tell each
+//!   what broke an attempt was the end of its back end; `quarantine`: requests that end back ends. `held`, `respond`, `answer`: answers on their way to callers.
+//! - [`followers`]: configuration and directory. `news`, [`datagram`]: what routers tell each
 //!   other; [`knowledge`]: what they hand to each other. [`calls`] and
 //!   [`transfer`]: calls under way and how far their answers have come. [`router`]: state of the process.
 
@@ -25,6 +25,7 @@
 mod choice;
 pub mod client;
 mod connection;
+pub mod datagram;
 mod exchange;
 pub mod followers;
 mod held;
@@ -33,6 +34,7 @@
 pub mod metrics;
 mod news;
 pub mod ports;
+mod quarantine;
 mod respond;
 mod room;
 pub mod router;
--- a/crates/stacktack-direct/src/metrics.rs
+++ b/crates/stacktack-direct/src/metrics.rs
@@ -12,6 +12,8 @@
     calm: Counter<u64>,
     drained_zones: Gauge<u64>,
     stale_loads: Gauge<u64>,
+    ended: Counter<u64>,
+    quarantine: Gauge<u64>,
     first_byte: Histogram<f64>,
     whole: Histogram<f64>,
     load_age: Histogram<f64>,
@@ -63,6 +65,14 @@
                 .u64_gauge("stacktack_stale_loads")
                 .with_description("Back ends whose believed load was told over a second ago")
                 .build(),
+            ended: meter
+                .u64_counter("stacktack_ended_back_ends")
+                .with_description("Back ends that ended while they ran requests, by what showed it")
+                .build(),
+            quarantine: meter
+                .u64_gauge("stacktack_quarantine")
+                .with_description("Requests under which back ends ended, by how they are treated")
+                .build(),
             first_byte: latency("stacktack_first_byte", "Time to the head of the answer"),
             whole: latency("stacktack_whole_answer", "Time to the end of the answer"),
             lag: latency(
@@ -102,6 +112,20 @@
         self.stale_loads.record(back_ends as u64, &[]);
     }
 
+    /// Counts the end of a back end.
+    pub fn count_ended(&self, cause: &'static str) {
+        self.ended.add(1, &[KeyValue::new("cause", cause)]);
+    }
+
+    /// Records how many requests run on trial and how many are set aside.
+    pub fn record_quarantine(&self, on_trial: usize, set_aside: usize) {
+        let counts = [("trial", on_trial), ("set_aside", set_aside)];
+        for (treatment, count) in counts {
+            let label = KeyValue::new("treatment", treatment);
+            self.quarantine.record(count as u64, &[label]);
+        }
+    }
+
     /// Counts a request that was taken while nobody was refused: few of these may count as
     /// returned.
     pub fn count_calm(&self, returned: bool) {
--- a/crates/stacktack-direct/src/news.rs
+++ b/crates/stacktack-direct/src/news.rs
@@ -3,11 +3,14 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use rand::RngExt;
 use stacktack_core::direct::peers::peer_news::{OwnNews, PeerNews};
 use stacktack_core::direct::peers::MAXIMUM_DATAGRAM;
+use stacktack_core::direct::quarantine::record::RecordNews;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
+use crate::datagram::{decode, encode};
 use crate::followers::Dependency;
 use crate::router::Router;
 
@@ -25,9 +28,12 @@
             sleep(INTERVAL).await;
             continue;
         };
-        match postcard::from_bytes::<PeerNews>(&buffer[..length]) {
-            Ok(news) => take(&router, &news),
-            Err(_) => log::debug!(target: "peers", "a datagram does not parse"),
+        match decode(&buffer[..length]) {
+            Ok(datagram) => {
+                take(&router, &datagram.news);
+                take_records(&router, &datagram.records);
+            }
+            Err(error) => log::debug!(target: "peers", "a datagram does not parse: {error}"),
         }
     }
 }
@@ -66,6 +72,19 @@
     }
 }
 
+/// Takes what a peer knows of requests that end back ends.
+fn take_records(router: &Router, records: &[RecordNews]) {
+    if records.is_empty() {
+        return;
+    }
+    let now = router.now();
+    let draw = rand::rng().random();
+    let changes = router.quarantine.borrow_mut().merge(records, draw, now);
+    for change in changes {
+        router.note_treatment(Some(change), "peer");
+    }
+}
+
 /// Tells peers, and takes over what they told, for ever.
 pub async fn exchange(router: Rc<Router>, socket: Rc<UdpSocket>, store: Rc<Dependency>) {
     loop {
@@ -95,10 +114,15 @@
         suspects: router.back_ends.borrow().suspects(SUSPECTS_TOLD),
         zone_drains: router.zone_drains.borrow().told(),
     };
+    let records = router.quarantine.borrow_mut().told(now);
     let outgoing = router.peers.borrow_mut().tick(&own, now);
     for datagram in outgoing {
-        let Ok(bytes) = postcard::to_allocvec(&datagram.news) else {
-            continue;
+        let bytes = match encode(&datagram.news, &records) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                log::error!(target: "peers", "a datagram cannot be written: {error}");
+                continue;
+            }
         };
         router.peers.borrow_mut().on_sent(bytes.len());
         // A datagram that cannot be sent is one that is lost.
--- a/crates/stacktack-direct/src/ports.rs
+++ b/crates/stacktack-direct/src/ports.rs
@@ -15,6 +15,8 @@
 use stacktack_core::direct::back_ends::directory::DirectoryDelta;
 use stacktack_core::direct::back_ends::zone_drain::ZoneDrainNews;
 use stacktack_core::direct::choice::prompt::PromptChain;
+use stacktack_core::direct::quarantine::digest::RequestDigest;
+use stacktack_core::direct::quarantine::StoredVerdict;
 use stacktack_core::direct::traffic::route::TrafficConfiguration;
 
 pub use crate::source_error::SourceError;
@@ -101,6 +103,10 @@
     Drained,
     /// All back ends of the pool are full.
     Busy,
+    /// Back ends ended under it again and again; it goes to none any more.
+    SetAside,
+    /// Back ends ended under it, and none that may try it can do so now.
+    OnTrial,
     /// Back ends refused it; it did not run.
     Rejected,
     /// It may have run and its answer is lost.
@@ -115,6 +121,12 @@
         !matches!(self, RefusalKind::Lost | RefusalKind::TimeOver)
     }
 
+    /// Whether it helps to come back: not where it is uncertain whether the request ran, nor
+    /// where it is not going to.
+    pub fn may_come_back(self) -> bool {
+        self.promises_not_run() && self != RefusalKind::SetAside
+    }
+
     /// Fixed word for logs and metrics.
     pub fn word(self) -> &'static str {
         match self {
@@ -128,6 +140,8 @@
             RefusalKind::NoBackEnd => "no_back_end",
             RefusalKind::Drained => "drained",
             RefusalKind::Busy => "busy",
+            RefusalKind::SetAside => "set_aside",
+            RefusalKind::OnTrial => "on_trial",
             RefusalKind::Rejected => "rejected",
             RefusalKind::Lost => "lost",
             RefusalKind::TimeOver => "time_over",
@@ -208,6 +222,24 @@
     ) -> LocalBoxFuture<'_, Result<ZoneDrainNews, SourceError>>;
 }
 
+/// Where verdicts on requests that end back ends last.
+pub trait VerdictStore {
+    /// All verdicts. Whoever calls bounds the time by dropping the call.
+    fn verdicts(
+        &self,
+        transfer: Rc<Transfer>,
+    ) -> LocalBoxFuture<'_, Result<Vec<StoredVerdict>, SourceError>>;
+
+    /// Writes verdicts and drops others; both may have been done before. Whoever calls
+    /// bounds the time by dropping the call.
+    fn change_verdicts(
+        &self,
+        stored: &[StoredVerdict],
+        dropped: &[RequestDigest],
+        transfer: Rc<Transfer>,
+    ) -> LocalBoxFuture<'_, Result<(), SourceError>>;
+}
+
 /// Directory of back ends.
 pub trait Directory {
     /// Everything (`after` is `None`), or news after a revision, waiting up to
--- a/crates/stacktack-direct/src/respond.rs
+++ b/crates/stacktack-direct/src/respond.rs
@@ -25,6 +25,10 @@
 /// drains last seconds at least, and callers shorten a time that is too long for them.
 const DRAINED_RETRY_AFTER: Duration = Duration::from_millis(2500);
 
+/// Time after which a suspect may come back whose trial nobody can take now: back ends that
+/// ended are back after 2 to 3 s, others that try it are done within one.
+const TRIAL_RETRY_AFTER: Duration = Duration::from_millis(1000);
+
 /// Time in which a stopped router is back, as a rule.
 const RETURN_TIME: Duration = Duration::from_millis(900);
 
@@ -49,6 +53,7 @@
     head.headers = exchange.router.protocol.answer_headers(&head.headers);
     let body = match source {
         AnswerSource::Whole(bytes) => {
+            exchange.note_good_run();
             attempt.on_whole();
             attempt.finish();
             exchange.outcome = Outcome::Answered(head.status.as_u16());
@@ -77,10 +82,11 @@
     exchange.outcome = Outcome::Refused(kind);
     let usual = match kind {
         RefusalKind::Drained => DRAINED_RETRY_AFTER,
+        RefusalKind::OnTrial => TRIAL_RETRY_AFTER,
         _ => RETRY_AFTER,
     };
     let come_back = exchange.come_back.unwrap_or(usual);
-    let retry_after = kind.promises_not_run().then_some(come_back);
+    let retry_after = kind.may_come_back().then_some(come_back);
     let refusal = Refusal { kind, retry_after };
     let response = exchange
         .router
--- a/crates/stacktack-direct/src/router.rs
+++ b/crates/stacktack-direct/src/router.rs
@@ -1,7 +1,7 @@
 //! State of a direct router's process. One thread owns it.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -11,6 +11,7 @@
 use stacktack_core::configuration::selector::{matches_all, Requirement};
 use stacktack_core::direct::admission::pool_load::{LoadReport, PoolLoad};
 use stacktack_core::direct::admission::{PoolAdmission, SlotLimit};
+use stacktack_core::direct::back_ends::directory::LifeId;
 use stacktack_core::direct::back_ends::slow_start::KnownFleet;
 use stacktack_core::direct::back_ends::suspicion::RequestRisk;
 use stacktack_core::direct::back_ends::zone_drain::{ZoneDrain, ZoneDrainNews, ZoneDrains};
@@ -20,6 +21,7 @@
 use stacktack_core::direct::peers::peer_news::{ShortId, ZoneHash};
 use stacktack_core::direct::peers::Peers;
 use stacktack_core::direct::quarantine::broken_runs::BrokenRuns;
+use stacktack_core::direct::quarantine::Quarantine;
 use stacktack_core::direct::request::budget::SharedRetryBudget;
 use stacktack_core::direct::sources::departure::HeldDepartures;
 use stacktack_core::direct::traffic::configuration_changes::ConfigurationHistory;
@@ -89,7 +91,13 @@
     /// Runs that broke off, until it is known whether their back end ended.
     pub(crate) broken_runs: RefCell<BrokenRuns>,
     /// Looks at whether back ends still accept connections.
-    pub(crate) looks: RefCell<HashMap<String, Look>>,
+    pub(crate) looks: RefCell<HashMap<LifeId, Look>>,
+    /// Requests that end back ends.
+    pub quarantine: RefCell<Quarantine>,
+    /// Back ends that run a request on trial.
+    pub(crate) trials: RefCell<HashSet<String>>,
+    /// Verdicts so far.
+    pub(crate) verdicts: watch::Sender<u64>,
     /// Counters and histograms.
     pub metrics: DirectMetrics,
     /// How far the process is on its way to its end.
@@ -142,6 +150,9 @@
             held_departures: RefCell::default(),
             broken_runs: RefCell::default(),
             looks: RefCell::default(),
+            quarantine: RefCell::default(),
+            trials: RefCell::default(),
+            verdicts: watch::Sender::new(0),
             metrics,
             phase: watch::Sender::new(Phase::Serving),
             store_lost: Cell::new(false),
@@ -467,6 +478,12 @@
         PoolLoad::of(&reports)
     }
 
+    /// Mean of the loads, 0 for no member.
+    pub fn mean_load(&self) -> f64 {
+        let sum: f64 = self.list.iter().map(|candidate| candidate.load).sum();
+        sum / self.list.len().max(1) as f64
+    }
+
     /// Takes for each member the load that is to be expected from the age of its news,
     /// and the limit that follows from the load of the pool.
     pub fn judge_by(&mut self, pool: &PoolLoad, hold_seconds: f64) {
--- a/crates/stacktack-direct/src/sending.rs
+++ b/crates/stacktack-direct/src/sending.rs
@@ -7,6 +7,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
+use stacktack_core::direct::quarantine::record::Treatment;
 use stacktack_core::direct::request::attempt::{AttemptFailure, AttemptLedger};
 use tokio::time::timeout;
 
@@ -35,8 +36,20 @@
     pub(crate) async fn attempt(&mut self, resume_after: Option<&str>) -> AttemptEnd {
         // A stream under way goes before new work.
         let under_way = resume_after.is_some() || self.caller.resume_after.is_some();
+        let treatment = self.treatment();
+        if treatment == Treatment::SetAside {
+            return AttemptEnd::NoBackEnd;
+        }
+        let trial = match treatment {
+            Treatment::Usual => None,
+            _ => self.select_for_trial(treatment),
+        };
+        let on_trial = trial.is_some();
+        if treatment == Treatment::Trial && !on_trial {
+            return AttemptEnd::NoBackEnd;
+        }
         let limit = (!under_way).then(|| self.slot_limit());
-        let Some(choice) = self.select(limit) else {
+        let Some(choice) = trial.or_else(|| self.select(limit)) else {
             return AttemptEnd::NoBackEnd;
         };
         if let Some(cause) = self.lacks_room(&choice, under_way) {
@@ -52,7 +65,10 @@
         let Some(mut attempt) = Attempt::begin(self.router.clone(), &back_end, pool, load) else {
             return AttemptEnd::Failure(AttemptFailure::Unreached, None);
         };
-        self.note_choice(&choice, fetch_from);
+        if on_trial {
+            attempt.put_on_trial();
+        }
+        self.note_choice(&choice, on_trial, fetch_from);
         let end = self
             .exchange_head(&mut attempt, resume_after, fetch_from)
             .await;
@@ -64,19 +80,19 @@
                 } else {
                     attempt.on_unreachable();
                 }
-                self.note_broken_run(&attempt, failure);
+                self.look = self.note_broken_run(&attempt, failure);
                 AttemptEnd::Failure(failure, None)
             }
         }
     }
 
-    fn note_choice(&self, choice: &Choice, fetch_from: Option<SocketAddr>) {
+    fn note_choice(&self, choice: &Choice, on_trial: bool, fetch_from: Option<SocketAddr>) {
         if let Some(age) = choice.load_age {
             self.router.metrics.record_load_age(age.as_secs_f64());
         }
         log::info!(
             target: "choice",
-            "id={} part={:x} tokens={} back_end={} load={:.1} load_age_ms={} mean={:.1} pool_fill={} rank={} standing={} fetch={} config={} directory={} peers={}",
+            "id={} part={:x} tokens={} back_end={} trial={on_trial} load={:.1} load_age_ms={} mean={:.1} pool_fill={} rank={} standing={} fetch={} config={} directory={} peers={}",
             self.id,
             self.caller.prompt.affinity_part().map_or(0, |part| part.id),
             self.caller.prompt.shared_tokens(),
@@ -226,10 +242,11 @@
                         body: body.to_bytes(),
                     };
                     attempt.finish();
+                    self.note_good_run();
                     AttemptEnd::Failure(AttemptFailure::Failed, Some(stored))
                 }
                 Err(_) => {
-                    self.note_broken_run(&attempt, AttemptFailure::Broken);
+                    self.look = self.note_broken_run(&attempt, AttemptFailure::Broken);
                     AttemptEnd::Failure(AttemptFailure::Broken, None)
                 }
             };
--- a/crates/stacktack-direct/tests/followers.rs
+++ b/crates/stacktack-direct/tests/followers.rs
@@ -105,6 +105,7 @@
 fn entry(id: &str, revision: u64) -> BackEndEntry {
     BackEndEntry {
         id: id.to_owned(),
+        born: 0,
         address: SocketAddr::from(([127, 0, 0, 1], 9)),
         labels: Labels::new(),
         slots: 4,
--- a/crates/stacktack-direct/tests/zone_drains.rs
+++ b/crates/stacktack-direct/tests/zone_drains.rs
@@ -174,6 +174,7 @@
 fn entry(id: &str, zone: &str) -> BackEndEntry {
     BackEndEntry {
         id: id.to_owned(),
+        born: 0,
         address: SocketAddr::from(([127, 0, 0, 1], 9)),
         labels: Labels::from([("zone".to_owned(), zone.to_owned())]),
         slots: 4,
