Time that counts suspensions of the machine: deadlines, ages, leases; what was believed waits for news

Cause: the steady clock and all timers stand still while a machine is suspended. After 8 s of that each deadline, age of news, verdict, held departure and lease was 8 s too young, and requests went on with time they no longer had. Now: time comes from CLOCK_BOOTTIME at one place (nix, in stacktack-node); a look every 100 ms and at each request notices the jump against the steady clock. What is past its limit ends then; resting connections are closed; the store is asked anew on a call of its own and counts as lost until it answers; silence of back ends counts from then on; requests are refused (503, come back) until the store or a peer was heard, one second at most. Tests by an injected pair of clocks: limits, short suspensions, noise, the store asked at once, nobody heard, silence.

--- a/crates/stacktack-agent/src/app.rs
+++ b/crates/stacktack-agent/src/app.rs
@@ -12,9 +12,8 @@
 use stacktack_core::gate::Gate;
 use stacktack_core::protection::Protections;
 use stacktack_node::client::{Machine, PlatformClient, Role};
-use stacktack_node::control::{
-    draw_incarnation, member_of, ControlHandle, ControlObserver, ProcessClock,
-};
+use stacktack_node::clock::ProcessClock;
+use stacktack_node::control::{draw_incarnation, member_of, ControlHandle, ControlObserver};
 use stacktack_node::http::{listen, listen_datagrams, serve, ListenError};
 use stacktack_node::logging;
 use stacktack_node::metrics::{Metrics, MetricsError};
--- a/crates/stacktack-agent/src/traffic.rs
+++ b/crates/stacktack-agent/src/traffic.rs
@@ -10,7 +10,7 @@
 use actix_rt::time::interval;
 use futures_util::{SinkExt, StreamExt};
 use stacktack_core::gate::{BackendEvent, ConnectionId, Gate, GateInput, GateOutput};
-use stacktack_node::control::ProcessClock;
+use stacktack_node::clock::ProcessClock;
 use stacktack_wire::codec::MessageCodec;
 use stacktack_wire::identity::AttemptId;
 use stacktack_wire::message::{Offer, ToAgent, ToRouter};
--- a/crates/stacktack-core/src/direct/back_ends/back_end.rs
+++ b/crates/stacktack-core/src/direct/back_ends/back_end.rs
@@ -258,6 +258,11 @@
         self.load.in_flight > 0 && now.since(self.silent_since) > SILENCE
     }
 
+    /// Silence counts from now on.
+    pub(crate) fn restart_silence(&mut self, now: Time) {
+        self.silent_since = now;
+    }
+
     /// What was seen of it, to compare others with.
     pub(crate) fn record(&self, now: Time) -> MemberRecord {
         MemberRecord {
--- a/crates/stacktack-core/src/direct/back_ends/mod.rs
+++ b/crates/stacktack-core/src/direct/back_ends/mod.rs
@@ -276,6 +276,13 @@
         }
     }
 
+    /// The machine was suspended until now: that nothing came meanwhile says nothing of members.
+    pub fn on_suspended(&mut self, now: Time) {
+        for member in self.members.values_mut() {
+            member.restart_silence(now);
+        }
+    }
+
     /// Short ids of members that this router suspects, at most `most`. Silence is
     /// not told: where many requests wait it comes and goes, and a fleet that
     /// passes by a back end all at once overloads the next ones.
--- a/crates/stacktack-direct/src/admission.rs
+++ b/crates/stacktack-direct/src/admission.rs
@@ -3,7 +3,6 @@
 use std::cell::OnceCell;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Instant;
 
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -13,7 +12,7 @@
 use stacktack_core::direct::quarantine::record::Treatment;
 use stacktack_core::direct::request::attempt::AttemptLedger;
 use stacktack_core::direct::traffic::route::{Route, Tenant, TrafficConfiguration};
-use tokio::time::timeout_at;
+use stacktack_core::time::Time;
 
 use crate::answer::AnswerBody;
 use crate::exchange::{Exchange, Outcome};
@@ -24,7 +23,8 @@
 
 /// Answers one request.
 pub async fn answer(router: Rc<Router>, request: Request<Incoming>) -> Response<AnswerBody> {
-    let started = Instant::now();
+    router.look_for_suspension();
+    let started = router.now();
     let (head, body) = request.into_parts();
     let caller = router.protocol.read_request(&head);
     match admit(&router, started, head, body, caller).await {
@@ -44,7 +44,7 @@
 
 async fn admit(
     router: &Rc<Router>,
-    started: Instant,
+    started: Time,
     head: request::Parts,
     body: Incoming,
     caller: CallerRequest,
@@ -60,6 +60,9 @@
     if *router.phase.borrow() == Phase::Draining {
         return Err(refused(RefusalKind::Stopping));
     }
+    if router.awaits_news() {
+        return Err(refused(RefusalKind::NotReady));
+    }
     let configuration = known.ok_or_else(|| refused(RefusalKind::NotReady))?;
     let route = find_route(&configuration, &head).ok_or_else(|| refused(RefusalKind::NoRoute))?;
     let tenant = find_tenant(&configuration, &route, &caller)
@@ -70,13 +73,13 @@
         .map_or(route.timeout, |time| time.min(route.timeout));
     let limit = started + patience;
     let limited = Limited::new(body, configuration.limits.body_bytes);
-    let body = match timeout_at(limit.into(), limited.collect()).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+    let body = match router.before(limit, limited.collect()).await {
+        Some(Ok(body)) => body.to_bytes(),
+        Some(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
             return Err(refused(RefusalKind::BodyTooLarge))
         }
-        Ok(Err(_)) => return Err(refused(RefusalKind::Malformed)),
-        Err(_) => return Err(refused(RefusalKind::BodyTimeout)),
+        Some(Err(_)) => return Err(refused(RefusalKind::Malformed)),
+        None => return Err(refused(RefusalKind::BodyTimeout)),
     };
     let digest = OnceCell::new();
     let treatment =
--- a/crates/stacktack-direct/src/answer.rs
+++ b/crates/stacktack-direct/src/answer.rs
@@ -106,7 +106,7 @@
     /// Cuts resumable streams into whole events.
     splitter: Option<EventSplitter>,
     status: u16,
-    limit: Pin<Box<Sleep>>,
+    limit: LocalBoxFuture<'static, ()>,
     stall: Option<Pin<Box<Sleep>>>,
 }
 
@@ -127,7 +127,8 @@
         status: u16,
     ) -> Self {
         let resumable = exchange.route.kind == RouteKind::ResumableStream;
-        let limit = Box::pin(sleep_until(exchange.limit.into()));
+        let (router, end) = (exchange.router.clone(), exchange.limit);
+        let limit = async move { router.until(end).await }.boxed_local();
         StreamAnswer {
             source: Source::Sending {
                 exchange,
--- a/crates/stacktack-direct/src/app.rs
+++ b/crates/stacktack-direct/src/app.rs
@@ -11,8 +11,9 @@
 use thiserror::Error;
 use tokio::net::UdpSocket;
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::time::{sleep, sleep_until, Instant};
+use tokio::time::sleep;
 
+use crate::clock::SystemClock;
 use crate::followers::{
     follow_configuration, follow_directory, follow_peers, follow_verdicts, follow_zone_drains,
     Dependency,
@@ -86,7 +87,12 @@
     log::info!(target: "router", "started name={} zone={} callers={}", settings.name, settings.zone, settings.callers);
     let knowledge = listen(settings.peers.listen)?;
     let socket = Rc::new(UdpSocket::bind(settings.peers.listen).await?);
-    let router = Rc::new(Router::new(settings, ports.protocol, instruments));
+    let router = Rc::new(Router::new(
+        settings,
+        ports.protocol,
+        instruments,
+        Rc::new(SystemClock),
+    ));
     let store = Rc::new(Dependency::new("store")?);
     actix_rt::spawn(follow_configuration(
         router.clone(),
@@ -191,23 +197,23 @@
 /// Says that it stops, serves who still comes, then waits for what is under way.
 async fn stop(router: &Router) {
     let grace = router.bounds().grace;
-    let end = Instant::now() + grace.saturating_sub(GRACE_MARGIN);
+    let begun = router.now();
+    let end = begun + grace.saturating_sub(GRACE_MARGIN);
     log::info!(target: "router", "stopping open_connections={}", router.open_connections.get());
     router.phase.send_replace(Phase::Closing);
-    let begun = Instant::now();
     sleep(LOOK_AWAY).await;
-    while !router.peers.borrow().any_serving() && begun.elapsed() < LAST_SERVING {
+    while !router.peers.borrow().any_serving() && router.now().since(begun) < LAST_SERVING {
         sleep(STOP_POLL).await;
     }
     router.phase.send_replace(Phase::Draining);
     let mut quiet_since = None;
-    while router.open_connections.get() > 0 && Instant::now() < end {
-        sleep_until((Instant::now() + STOP_POLL).min(end)).await;
+    while router.open_connections.get() > 0 && router.now() < end {
+        sleep(STOP_POLL.min(end.since(router.now()))).await;
         quiet_since = match router.exchanges.get() {
-            0 => quiet_since.or(Some(Instant::now())),
+            0 => quiet_since.or(Some(router.now())),
             _ => None,
         };
-        if quiet_since.is_some_and(|since| since.elapsed() >= FLUSH) {
+        if quiet_since.is_some_and(|since| router.now().since(since) >= FLUSH) {
             break;
         }
     }
--- a/crates/stacktack-direct/src/attempt.rs
+++ b/crates/stacktack-direct/src/attempt.rs
@@ -55,6 +55,8 @@
     pub(crate) life: LifeId,
     /// Whether it runs on trial.
     pub(crate) on_trial: bool,
+    /// On the steady clock: what it tells of the back end's speed leaves suspensions of this
+    /// machine out.
     written: Instant,
     rest_seconds: Option<u64>,
 }
--- a/crates/stacktack-direct/src/connection.rs
+++ b/crates/stacktack-direct/src/connection.rs
@@ -65,6 +65,11 @@
         }
     }
 
+    /// Closes all connections.
+    pub fn clear(&mut self) {
+        self.by_address.clear();
+    }
+
     /// Closes connections that rested too long.
     pub fn expire(&mut self, now: Instant) {
         self.by_address.retain(|_, resting| {
--- a/crates/stacktack-direct/src/exchange.rs
+++ b/crates/stacktack-direct/src/exchange.rs
@@ -4,7 +4,7 @@
 use std::future::Future;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::body::Incoming;
@@ -15,7 +15,7 @@
 use stacktack_core::direct::quarantine::record::Treatment;
 use stacktack_core::direct::request::attempt::{AttemptFailure, AttemptLedger};
 use stacktack_core::direct::traffic::route::{Route, Tenant};
-use tokio::time::timeout_at;
+use stacktack_core::time::Time;
 
 use crate::attempt::{Attempt, AttemptEnd, StoredAnswer};
 use crate::back_end_end::LookEnd;
@@ -68,8 +68,9 @@
     pub(crate) body: Bytes,
     pub(crate) caller: CallerRequest,
     pub(crate) version: u64,
-    pub(crate) started: Instant,
-    pub(crate) limit: Instant,
+    pub(crate) started: Time,
+    /// When it is over.
+    pub(crate) limit: Time,
     /// Which request it is; worked out when it first matters.
     pub(crate) digest: OnceCell<RequestDigest>,
     pub(crate) ledger: AttemptLedger,
@@ -90,7 +91,7 @@
 impl Drop for Exchange {
     fn drop(&mut self) {
         self.router.exchanges.set(self.router.exchanges.get() - 1);
-        let seconds = self.started.elapsed().as_secs_f64();
+        let seconds = self.elapsed().as_secs_f64();
         self.router
             .metrics
             .count_request(self.outcome.word(), seconds);
@@ -126,6 +127,16 @@
         &self.route.targets[self.target].back_ends
     }
 
+    /// Time since it came.
+    pub(crate) fn elapsed(&self) -> Duration {
+        self.router.now().since(self.started)
+    }
+
+    /// Time that it has left.
+    pub(crate) fn remaining(&self) -> Duration {
+        self.limit.since(self.router.now())
+    }
+
     /// Rank among requests to the same pool; a tenant's goes before its route's.
     pub(crate) fn priority(&self) -> u8 {
         let tenant = self.tenant.as_deref();
@@ -138,20 +149,21 @@
     pub(crate) async fn run(&mut self) -> ExchangeEnd {
         let limit = self.limit;
         let verdict = self.verdict();
-        let attempts = timeout_at(limit.into(), self.attempts());
+        let router = self.router.clone();
+        let attempts = router.before(limit, self.attempts());
         let ended = tokio::select! {
             biased;
             ended = attempts => ended,
             () = verdict => return ExchangeEnd::Refused(self.refusal_kind()),
         };
         match ended {
-            Ok(Ok((answer, attempt))) => ExchangeEnd::Answer(answer, attempt),
-            Ok(Err(Some(last))) => ExchangeEnd::FailedAnswer(last),
-            Ok(Err(None)) => ExchangeEnd::Refused(self.refusal_kind()),
-            Err(_) if self.in_doubt || self.ledger.may_have_run => {
+            Some(Ok((answer, attempt))) => ExchangeEnd::Answer(answer, attempt),
+            Some(Err(Some(last))) => ExchangeEnd::FailedAnswer(last),
+            Some(Err(None)) => ExchangeEnd::Refused(self.refusal_kind()),
+            None if self.in_doubt || self.ledger.may_have_run => {
                 ExchangeEnd::Refused(RefusalKind::TimeOver)
             }
-            Err(_) => ExchangeEnd::Refused(RefusalKind::NoBackEnd),
+            None => ExchangeEnd::Refused(RefusalKind::NoBackEnd),
         }
     }
 
@@ -202,7 +214,7 @@
             failure.word(),
             after,
             self.ledger.sends,
-            self.started.elapsed().as_millis(),
+            self.elapsed().as_millis(),
         );
     }
 
@@ -246,7 +258,7 @@
 
     /// Why nobody gave an answer.
     fn refusal_kind(&self) -> RefusalKind {
-        if self.ledger.may_have_run && Instant::now() >= self.limit {
+        if self.ledger.may_have_run && self.remaining().is_zero() {
             RefusalKind::TimeOver
         } else if self.ledger.may_have_run || self.in_doubt {
             RefusalKind::Lost
--- a/crates/stacktack-direct/src/followers/configuration.rs
+++ b/crates/stacktack-direct/src/followers/configuration.rs
@@ -29,7 +29,7 @@
     store: Rc<Dependency>,
 ) {
     let mut follower = ConfigurationFollower {
-        router,
+        router: router.clone(),
         store: store.clone(),
         told: None,
         history_gone: false,
@@ -43,6 +43,11 @@
         let patience = follower.patience();
         let event = tokio::select! {
             event = calls.event(patience) => event,
+            () = router.resumed() => {
+                follower.on_silence(Instant::now());
+                calls.next_after(Duration::ZERO);
+                continue;
+            }
             () = store.returned() => {
                 // A call that waits may have been lost with the outage. One whose
                 // answer is arriving goes on: dropped, it would begin at its first byte.
@@ -134,6 +139,7 @@
     fn on_answer(&mut self, news: ConfigurationNews, call: &EndedCall) -> Duration {
         self.pause.reset();
         self.store.on_lateness(call.lateness());
+        self.router.note_heard();
         self.silent_since = None;
         self.history_gone = false;
         self.told = self.told.max(Some(news.revision));
--- a/crates/stacktack-direct/src/followers/directory.rs
+++ b/crates/stacktack-direct/src/followers/directory.rs
@@ -82,6 +82,12 @@
         loop {
             tokio::select! {
                 event = calls.event(patience) => return event,
+                () = self.router.resumed() => {
+                    // What was missing may only have been unable to renew itself, and the call
+                    // under way may wait on a connection that is gone.
+                    self.store.on_failure(self.router.now(), SourceError::Suspended);
+                    calls.next_after(Duration::ZERO);
+                }
                 () = sleep(HELD_LOOK), if self.holds_any() => self.release_held(),
             }
         }
@@ -93,6 +99,7 @@
         self.pause.reset();
         self.store.on_lateness(call.lateness());
         self.store.on_answer(now);
+        self.router.note_heard();
         self.router.store_lost.set(false);
         self.told = self.told.max(Some(news.revision));
         self.take_news(news, now);
--- a/crates/stacktack-direct/src/lib.rs
+++ b/crates/stacktack-direct/src/lib.rs
@@ -14,7 +14,8 @@
 //!   what broke an attempt was the end of its back end; `quarantine`: requests that end back ends. `held`, `respond`, `answer`: answers on their way to callers.
 //! - [`followers`]: configuration and directory. `news`, [`datagram`]: what routers tell each
 //!   other; [`knowledge`]: what they hand to each other. [`calls`] and
-//!   [`transfer`]: calls under way and how far their answers have come. [`router`]: state of the process.
+//!   [`transfer`]: calls under way and how far their answers have come. [`router`]: state of the process;
+//!   [`clock`], `suspension`: its time, and what a suspension of its machine changes.
 
 mod admission;
 mod answer;
@@ -24,6 +25,7 @@
 pub mod calls;
 mod choice;
 pub mod client;
+pub mod clock;
 mod connection;
 pub mod datagram;
 mod exchange;
@@ -42,4 +44,5 @@
 mod server;
 pub mod settings;
 pub mod source_error;
+mod suspension;
 pub mod transfer;
--- a/crates/stacktack-direct/src/metrics.rs
+++ b/crates/stacktack-direct/src/metrics.rs
@@ -13,6 +13,7 @@
     drained_zones: Gauge<u64>,
     stale_loads: Gauge<u64>,
     ended: Counter<u64>,
+    suspended: Histogram<f64>,
     quarantine: Gauge<u64>,
     first_byte: Histogram<f64>,
     whole: Histogram<f64>,
@@ -65,6 +66,10 @@
                 .u64_gauge("stacktack_stale_loads")
                 .with_description("Back ends whose believed load was told over a second ago")
                 .build(),
+            suspended: latency(
+                "stacktack_suspended",
+                "Times for which the machine was suspended",
+            ),
             ended: meter
                 .u64_counter("stacktack_ended_back_ends")
                 .with_description("Back ends that ended while they ran requests, by what showed it")
@@ -112,6 +117,11 @@
         self.stale_loads.record(back_ends as u64, &[]);
     }
 
+    /// Counts a suspension of the machine.
+    pub fn count_suspension(&self, seconds: f64) {
+        self.suspended.record(seconds, &[]);
+    }
+
     /// Counts the end of a back end.
     pub fn count_ended(&self, cause: &'static str) {
         self.ended.add(1, &[KeyValue::new("cause", cause)]);
--- a/crates/stacktack-direct/src/news.rs
+++ b/crates/stacktack-direct/src/news.rs
@@ -40,6 +40,7 @@
 
 fn take(router: &Router, news: &PeerNews) {
     let now = router.now();
+    router.note_heard();
     let joined = router.peers.borrow_mut().receive(news, now);
     if joined {
         log::info!(
@@ -91,6 +92,7 @@
         let due = Instant::now() + INTERVAL;
         sleep(INTERVAL).await;
         router.note_lag(due.elapsed());
+        router.look_for_suspension();
         tell(&router, &socket, &store).await;
         router.take_peer_loads();
         router.update_cold();
--- a/crates/stacktack-direct/src/respond.rs
+++ b/crates/stacktack-direct/src/respond.rs
@@ -46,7 +46,7 @@
     answer: HeldAnswer,
     attempt: Attempt,
 ) -> Response<AnswerBody> {
-    let seconds = exchange.started.elapsed().as_secs_f64();
+    let seconds = exchange.elapsed().as_secs_f64();
     exchange.router.metrics.record_first_byte(seconds);
     exchange.note_first_answer();
     let HeldAnswer { mut head, source } = answer;
--- a/crates/stacktack-direct/src/room.rs
+++ b/crates/stacktack-direct/src/room.rs
@@ -1,7 +1,5 @@
 //! Whether a request's pool has room for it, and what its caller is told if not.
 
-use std::time::Instant;
-
 use rand::RngExt;
 use stacktack_core::direct::admission::pool_load::PoolLoad;
 use stacktack_core::direct::admission::{AdmissionRequest, PoolAdmission, PoolAnswer, SlotLimit};
@@ -46,7 +44,7 @@
             tenant: self.tenant.as_ref().map(|tenant| tenant.name_hash()),
             objective: self.route.objective,
             announced_patience: patience,
-            patience: patience.saturating_sub(Instant::now().duration_since(self.started)),
+            patience: patience.saturating_sub(self.elapsed()),
             repeated: self.ledger.sends > 0,
         };
         self.router
@@ -118,7 +116,7 @@
         if self.returned || self.ledger.sends > 0 {
             return;
         }
-        let late = self.started.elapsed() > self.route.objective;
+        let late = self.elapsed() > self.route.objective;
         self.router
             .with_admission(pool_name(self.pool()), |admission| {
                 admission.on_first_answer(late);
--- a/crates/stacktack-direct/src/router.rs
+++ b/crates/stacktack-direct/src/router.rs
@@ -28,9 +28,9 @@
 use stacktack_core::direct::traffic::route::TrafficConfiguration;
 use stacktack_core::time::Time;
 use tokio::sync::{watch, Notify};
-use tokio::time::Instant;
 
 use crate::back_end_end::Look;
+use crate::clock::{Clock, SuspensionDetector};
 use crate::connection::RestingConnections;
 use crate::load_summary::LoadSummary;
 use crate::metrics::DirectMetrics;
@@ -108,7 +108,14 @@
     pub exchanges: Cell<usize>,
     /// Open callers' connections.
     pub open_connections: Cell<usize>,
-    origin: Instant,
+    pub(crate) clock: Rc<dyn Clock>,
+    /// Reading of the clock at the start of the process.
+    origin: Duration,
+    pub(crate) suspension_detector: Cell<SuspensionDetector>,
+    /// Suspensions so far.
+    pub(crate) suspensions: watch::Sender<u64>,
+    /// When a suspension was over after which nobody was heard yet.
+    pub(crate) unheard_since: Cell<Option<Time>>,
 }
 
 /// Lateness of a timer from which the process is late: what it reads then may have waited.
@@ -123,7 +130,9 @@
         settings: DirectSettings,
         protocol: Rc<dyn Protocol>,
         metrics: DirectMetrics,
+        clock: Rc<dyn Clock>,
     ) -> Self {
+        let begun = clock.read();
         let peers = Peers::new(
             settings.peers.listen,
             ZoneHash::of(&settings.zone),
@@ -158,13 +167,18 @@
             store_lost: Cell::new(false),
             exchanges: Cell::new(0),
             open_connections: Cell::new(0),
-            origin: Instant::now(),
+            clock,
+            origin: begun.elapsed,
+            suspension_detector: Cell::new(SuspensionDetector::new(&begun)),
+            suspensions: watch::Sender::new(0),
+            unheard_since: Cell::default(),
         }
     }
 
-    /// Time since the process started.
+    /// Time since the process started, suspensions of its machine included.
     pub fn now(&self) -> Time {
-        Time(self.origin.elapsed().as_micros() as u64)
+        let elapsed = self.clock.read().elapsed.saturating_sub(self.origin);
+        Time(elapsed.as_micros() as u64)
     }
 
     /// Whether callers should be sent here.
@@ -172,6 +186,7 @@
         *self.phase.borrow() == Phase::Serving
             && self.configuration.borrow().is_some()
             && self.back_ends.borrow().working() > 0
+            && !self.awaits_news()
     }
 
     /// Bounds in force.
--- a/crates/stacktack-direct/src/sending.rs
+++ b/crates/stacktack-direct/src/sending.rs
@@ -179,7 +179,7 @@
 
     /// Time that an attempt is given for the head of its answer.
     fn attempt_patience(&self) -> Duration {
-        let remaining = self.limit.saturating_duration_since(Instant::now());
+        let remaining = self.remaining();
         if self.may_repeat_next() {
             remaining.min(self.route.objective * SILENCE_OBJECTIVES)
         } else {
@@ -196,7 +196,7 @@
         let tenant = self.tenant.as_deref();
         let order = ForwardOrder {
             instance: &attempt.back_end,
-            remaining: self.limit.saturating_duration_since(Instant::now()),
+            remaining: self.remaining(),
             tenant: tenant.map(|tenant| tenant.name.as_str()),
             resume_after: resume_after.or(self.caller.resume_after.as_deref()),
             fetch_from,
--- a/crates/stacktack-direct/src/server.rs
+++ b/crates/stacktack-direct/src/server.rs
@@ -4,7 +4,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::FutureExt;
@@ -14,6 +14,7 @@
 use hyper::service::service_fn;
 use hyper::{Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use stacktack_core::time::Time;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time::sleep;
 
@@ -129,13 +130,13 @@
 #[derive(Default)]
 struct Activity {
     under_way: Cell<bool>,
-    changed: Cell<Option<Instant>>,
+    changed: Cell<Time>,
 }
 
 impl Activity {
-    fn set(&self, under_way: bool) {
+    fn set(&self, under_way: bool, now: Time) {
         self.under_way.set(under_way);
-        self.changed.set(Some(Instant::now()));
+        self.changed.set(now);
     }
 }
 
@@ -145,21 +146,21 @@
         return;
     }
     let activity = Rc::new(Activity::default());
-    activity.set(false);
+    activity.set(false, router.now());
     let service = {
         let router = router.clone();
         let activity = activity.clone();
         service_fn(move |request| {
             let router = router.clone();
             let activity = activity.clone();
-            activity.set(true);
+            activity.set(true, router.now());
             async move {
                 let mut response = admission::answer(router.clone(), request).await;
                 if *router.phase.borrow() != Phase::Serving {
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(CONNECTION, close);
                 }
-                activity.set(false);
+                activity.set(false, router.now());
                 Ok::<_, Infallible>(response)
             }
         })
@@ -180,7 +181,7 @@
             _ = connection.as_mut() => return,
             _ = &mut draining => connection.as_mut().graceful_shutdown(),
             _ = sleep(limits.idle_timeout) => {
-                let rested = activity.changed.get().is_some_and(|at| at.elapsed() >= limits.idle_timeout);
+                let rested = router.now().since(activity.changed.get()) >= limits.idle_timeout;
                 if rested && !activity.under_way.get() {
                     connection.as_mut().graceful_shutdown();
                 }
--- a/crates/stacktack-direct/src/source_error.rs
+++ b/crates/stacktack-direct/src/source_error.rs
@@ -11,6 +11,9 @@
     /// No answer came in time.
     #[error("no answer came in time")]
     Silent,
+    /// The machine was suspended: what the source said before may be old.
+    #[error("the machine was suspended")]
+    Suspended,
     /// The connection broke.
     #[error("the connection broke")]
     Broken,
--- a/crates/stacktack-direct/tests/common/mod.rs
+++ b/crates/stacktack-direct/tests/common/mod.rs
@@ -7,8 +7,8 @@
 use bytes::Bytes;
 use hyper::http::{request, response};
 use hyper::{HeaderMap, Response};
-use stacktack_core::direct::peers::peer_news::{PeerNews, ZoneHash};
 use stacktack_core::direct::request::budget::BudgetBound;
+use stacktack_direct::clock::{Clock, RuntimeClock};
 use stacktack_direct::metrics::DirectMetrics;
 use stacktack_direct::ports::{BackEndAnswer, CallerRequest, ForwardOrder, Protocol, Refusal};
 use stacktack_direct::router::Router;
@@ -43,6 +43,11 @@
 
 /// A router that knows nothing yet.
 pub fn router() -> Rc<Router> {
+    router_with(Rc::new(RuntimeClock::start()))
+}
+
+/// The same with a clock of the test's own.
+pub fn router_with(clock: Rc<dyn Clock>) -> Rc<Router> {
     let nowhere = SocketAddr::from(([127, 0, 0, 1], 9));
     let settings = DirectSettings {
         name: "router".to_owned(),
@@ -67,29 +72,15 @@
     };
     let metrics = Metrics::new().expect("metrics");
     let instruments = DirectMetrics::new(&metrics.meter());
-    Rc::new(Router::new(settings, Rc::new(NoProtocol), instruments))
+    Rc::new(Router::new(
+        settings,
+        Rc::new(NoProtocol),
+        instruments,
+        clock,
+    ))
 }
 
 /// Lets time pass.
 pub async fn after(milliseconds: u64) {
     sleep(Duration::from_millis(milliseconds)).await;
 }
-
-/// What a peer with these beliefs tells that the store answers steadily.
-pub fn steady_peer(from: SocketAddr, configuration: u64, directory: u64) -> PeerNews {
-    PeerNews {
-        from,
-        incarnation: 1,
-        zone: ZoneHash::of("zone"),
-        configuration,
-        directory,
-        settled: true,
-        serving: true,
-        loads: Vec::new(),
-        told_loads: Vec::new(),
-        places: Vec::new(),
-        suspects: Vec::new(),
-        routers: Vec::new(),
-        zone_drains: Vec::new(),
-    }
-}
--- a/crates/stacktack-direct/tests/configuration_in_force/main.rs
+++ b/crates/stacktack-direct/tests/configuration_in_force/main.rs
@@ -22,6 +22,8 @@
 
 #[path = "../common/mod.rs"]
 mod common;
+#[path = "../common/steady_peer.rs"]
+mod steady_peer;
 mod world;
 
 use std::rc::Rc;
--- a/crates/stacktack-direct/tests/configuration_in_force/world.rs
+++ b/crates/stacktack-direct/tests/configuration_in_force/world.rs
@@ -24,7 +24,8 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout, Instant};
 
-use crate::common::{after, router, steady_peer};
+use crate::common::{after, router};
+use crate::steady_peer::steady_peer;
 
 /// Routes of the document, and its size in the store with them.
 const ROUTES: u64 = 1650;
--- a/crates/stacktack-direct/tests/followers.rs
+++ b/crates/stacktack-direct/tests/followers.rs
@@ -2,6 +2,8 @@
 //! virtual time.
 
 mod common;
+#[path = "common/steady_peer.rs"]
+mod steady_peer;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -18,7 +20,8 @@
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
-use common::{after, router, steady_peer};
+use common::{after, router};
+use steady_peer::steady_peer;
 
 /// A directory that can be down; a call that waits is cut when it goes down.
 #[derive(Default)]
--- /dev/null
+++ b/crates/stacktack-direct/tests/suspension.rs
@@ -0,0 +1,230 @@
+//! What a router does after its machine was suspended. Its steady clock and its timers stood still
+//! meanwhile; deadlines, ages and news did not.
+
+mod common;
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use stacktack_core::direct::back_ends::directory::{BackEndEntry, DirectoryChange};
+use stacktack_core::time::Time;
+use stacktack_direct::clock::{Clock, RuntimeClock};
+use stacktack_direct::followers::{follow_directory, Dependency};
+use stacktack_direct::ports::{Directory, DirectoryNews, LocalBoxFuture, SourceError};
+use stacktack_direct::router::Router;
+use stacktack_direct::transfer::Transfer;
+use stacktack_node::clock::Reading;
+use tokio::time::Instant;
+
+use common::{after, router, router_with};
+
+/// A machine that tests suspend: its timers see nothing of that.
+struct SuspendedClock {
+    runtime: RuntimeClock,
+    suspended: Cell<Duration>,
+}
+
+impl SuspendedClock {
+    fn start() -> Rc<Self> {
+        Rc::new(SuspendedClock {
+            runtime: RuntimeClock::start(),
+            suspended: Cell::default(),
+        })
+    }
+
+    fn suspend(&self, time: Duration) {
+        self.suspended.set(self.suspended.get() + time);
+    }
+}
+
+impl Clock for SuspendedClock {
+    fn read(&self) -> Reading {
+        let reading = self.runtime.read();
+        Reading {
+            elapsed: reading.elapsed + self.suspended.get(),
+            ..reading
+        }
+    }
+}
+
+/// A directory whose calls wait for news that do not come.
+#[derive(Default)]
+struct QuietDirectory {
+    calls: Cell<u32>,
+}
+
+impl Directory for QuietDirectory {
+    fn back_ends(
+        &self,
+        after: Option<u64>,
+        wait: Duration,
+        _: Rc<Transfer>,
+    ) -> LocalBoxFuture<'_, Result<DirectoryNews, SourceError>> {
+        self.calls.set(self.calls.get() + 1);
+        Box::pin(async move {
+            if after.is_some() {
+                tokio::time::sleep(wait).await;
+            }
+            Ok(DirectoryNews {
+                revision: 5,
+                ..DirectoryNews::default()
+            })
+        })
+    }
+}
+
+fn world() -> (Rc<SuspendedClock>, Rc<Router>) {
+    let clock = SuspendedClock::start();
+    let router = router_with(clock.clone());
+    (clock, router)
+}
+
+const EIGHT: Duration = Duration::from_secs(8);
+
+#[tokio::test(start_paused = true)]
+async fn time_goes_on_while_the_machine_is_suspended() {
+    let (clock, router) = world();
+    after(1000).await;
+    clock.suspend(EIGHT);
+    assert_eq!(router.now().since(Time(0)).as_secs(), 9);
+}
+
+/// A request whose time is over when its machine wakes ends at once, and not 8 s later.
+#[tokio::test(start_paused = true)]
+async fn what_is_past_its_limit_ends_when_the_machine_wakes() {
+    let (clock, router) = world();
+    let limit = router.now() + Duration::from_secs(5);
+    let begun = Instant::now();
+    let (ended, ()) = tokio::join!(router.before(limit, std::future::pending::<()>()), async {
+        after(1000).await;
+        clock.suspend(EIGHT);
+        after(100).await;
+        router.look_for_suspension();
+    });
+    assert_eq!(ended, None);
+    assert_eq!(begun.elapsed(), Duration::from_millis(1100));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_limit_holds_without_a_suspension_and_after_a_short_one() {
+    let (clock, router) = world();
+    let limit = router.now() + Duration::from_secs(5);
+    let begun = Instant::now();
+    let ((), ()) = tokio::join!(router.until(limit), async {
+        after(1000).await;
+        clock.suspend(Duration::from_secs(2));
+        router.look_for_suspension();
+    });
+    assert_eq!(begun.elapsed().as_secs(), 3);
+}
+
+/// Readings that differ by less than a moment are no suspension, also when they add up slowly.
+#[tokio::test(start_paused = true)]
+async fn clocks_that_are_read_one_after_the_other_are_no_suspension() {
+    let (clock, router) = world();
+    for _ in 0..3 {
+        clock.suspend(Duration::from_millis(20));
+        router.look_for_suspension();
+    }
+    assert!(!router.awaits_news());
+    clock.suspend(Duration::from_millis(60));
+    router.look_for_suspension();
+    assert!(router.awaits_news());
+}
+
+/// The store is asked anew at once: the call that waits there may be on a dead connection.
+#[tokio::test(start_paused = true)]
+async fn the_store_is_asked_at_once_and_believed_again_when_it_was_heard() {
+    let local = tokio::task::LocalSet::new();
+    let play = async {
+        let (clock, router) = world();
+        let store = Rc::new(Dependency::new("store").expect("a chart"));
+        let directory = Rc::new(QuietDirectory::default());
+        tokio::task::spawn_local(follow_directory(
+            router.clone(),
+            directory.clone(),
+            store.clone(),
+        ));
+        after(300).await;
+        let calls = directory.calls.get();
+        assert!(store.is_steady(router.now()));
+        clock.suspend(EIGHT);
+        router.look_for_suspension();
+        assert!(router.awaits_news());
+        after(10).await;
+        assert_eq!(directory.calls.get(), calls + 1);
+        assert!(!router.awaits_news(), "the store was heard");
+        assert!(!store.is_steady(router.now()), "entries may have lapsed");
+        after(2500).await;
+        assert!(store.is_steady(router.now()));
+    };
+    local.run_until(play).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_machine_that_is_never_suspended_awaits_nothing() {
+    let router = router();
+    after(60_000).await;
+    router.look_for_suspension();
+    assert!(!router.awaits_news());
+}
+
+#[tokio::test(start_paused = true)]
+async fn where_nobody_is_heard_what_was_believed_holds_after_a_second() {
+    let (clock, router) = world();
+    clock.suspend(EIGHT);
+    router.look_for_suspension();
+    assert!(router.awaits_news());
+    after(1000).await;
+    assert!(!router.awaits_news());
+}
+
+/// That no byte came while nothing could be read here says nothing of a back end.
+#[tokio::test(start_paused = true)]
+async fn a_suspension_is_no_silence_of_back_ends() {
+    let (clock, router) = world();
+    let entry = BackEndEntry {
+        id: "b".to_owned(),
+        born: 0,
+        address: SocketAddr::from(([127, 0, 0, 1], 80)),
+        labels: Default::default(),
+        slots: 8,
+        leaving: false,
+        cold_for: Duration::ZERO,
+        revision: 1,
+    };
+    let mut change = DirectoryChange::default();
+    let now = router.now();
+    router
+        .back_ends
+        .borrow_mut()
+        .upsert(entry, now, &mut change);
+    let with_back_end = |act: &mut dyn FnMut(&mut _)| {
+        let mut back_ends = router.back_ends.borrow_mut();
+        act(back_ends.get_mut("b").expect("is known"));
+    };
+    with_back_end(
+        &mut |back_end: &mut stacktack_core::direct::back_ends::back_end::BackEnd| {
+            back_end.on_send(now);
+        },
+    );
+    clock.suspend(EIGHT);
+    router.look_for_suspension();
+    let silent = router
+        .back_ends
+        .borrow()
+        .get("b")
+        .expect("is known")
+        .is_silent(router.now());
+    assert!(!silent);
+    after(500).await;
+    let silent = router
+        .back_ends
+        .borrow()
+        .get("b")
+        .expect("is known")
+        .is_silent(router.now());
+    assert!(silent, "silence counts from the moment at which it wakes");
+}
--- a/crates/stacktack-direct/tests/zone_drains.rs
+++ b/crates/stacktack-direct/tests/zone_drains.rs
@@ -2,6 +2,8 @@
 //! virtual time.
 
 mod common;
+#[path = "common/steady_peer.rs"]
+mod steady_peer;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -25,7 +27,8 @@
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
-use common::{after, router, steady_peer};
+use common::{after, router};
+use steady_peer::steady_peer;
 
 /// Time within which a drain has to be in force while the store serves the router.
 const SOON: u64 = 200;
--- a/crates/stacktack-node/src/control.rs
+++ b/crates/stacktack-node/src/control.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use actix_http::body::BoxBody;
 use actix_http::{Request, Response, StatusCode};
@@ -15,7 +15,6 @@
 use stacktack_core::configuration::Configuration;
 use stacktack_core::control::{Control, ControlInput, ControlOutput};
 use stacktack_core::problem::{Kind, Outcome};
-use stacktack_core::time::Time;
 use stacktack_wire::codec::{decode, encode as encode_message};
 use stacktack_wire::gossip::{Datagram, MemberInformation, MemberRole, MAXIMUM_DATAGRAM};
 use stacktack_wire::identity::{ConfigurationVersion, Incarnation, NodeId};
@@ -23,6 +22,7 @@
 use tokio::net::UdpSocket;
 
 use crate::client::{Machine, PlatformClient, Role};
+use crate::clock::ProcessClock;
 use crate::configuration_store::{read_chain, read_object};
 use crate::http::{json_reply, problem_reply, read_body};
 
@@ -59,31 +59,6 @@
     fn own_state(&self) -> (f64, bool);
 }
 
-/// A process's clock: microseconds since its start.
-#[derive(Clone, Copy, Debug)]
-pub struct ProcessClock {
-    origin: Instant,
-}
-
-impl ProcessClock {
-    /// A clock that begins now.
-    pub fn start() -> Self {
-        ProcessClock {
-            origin: Instant::now(),
-        }
-    }
-
-    /// The time.
-    pub fn now(&self) -> Time {
-        Time(self.origin.elapsed().as_micros() as u64)
-    }
-
-    /// A time of this clock on the runtime's clock.
-    pub fn instant(&self, at: Time) -> Instant {
-        self.origin + Duration::from_micros(at.0)
-    }
-}
-
 /// A life of a process, from the wall clock.
 pub fn draw_incarnation() -> Incarnation {
     let since_epoch = std::time::SystemTime::now()
--- a/crates/stacktack-node/src/lib.rs
+++ b/crates/stacktack-node/src/lib.rs
@@ -2,6 +2,7 @@
 //! metrics, HTTP serving, and clients of the platform's services.
 
 pub mod client;
+pub mod clock;
 pub mod configuration_store;
 pub mod control;
 pub mod http;
--- /dev/null
+++ b/crates/stacktack-node/tests/clock.rs
@@ -0,0 +1,27 @@
+//! The clock of a process.
+
+use std::time::{Duration, Instant};
+
+use stacktack_node::clock::{ProcessClock, Reading};
+
+#[test]
+fn the_clock_that_counts_suspensions_is_never_behind_the_steady_one() {
+    let reading = Reading::take();
+    assert!(reading.steady > Duration::ZERO);
+    assert!(reading.elapsed >= reading.steady);
+    let suspended = Reading {
+        elapsed: reading.steady + Duration::from_secs(8),
+        ..reading
+    };
+    assert_eq!(suspended.suspended(), Duration::from_secs(8));
+}
+
+#[test]
+fn times_are_found_again_on_the_runtimes_clock() {
+    let clock = ProcessClock::start();
+    let before = Instant::now();
+    let at = clock.now() + Duration::from_secs(60);
+    let instant = clock.instant(at);
+    assert!(instant >= before + Duration::from_secs(59));
+    assert!(instant <= Instant::now() + Duration::from_secs(60));
+}
--- a/crates/stacktack-router/src/app.rs
+++ b/crates/stacktack-router/src/app.rs
@@ -17,9 +17,8 @@
 use stacktack_core::dispatch::Dispatcher;
 use stacktack_core::protection::Protections;
 use stacktack_node::client::{Machine, PlatformClient, Role};
-use stacktack_node::control::{
-    draw_incarnation, member_of, ControlHandle, ControlObserver, ProcessClock,
-};
+use stacktack_node::clock::ProcessClock;
+use stacktack_node::control::{draw_incarnation, member_of, ControlHandle, ControlObserver};
 use stacktack_node::http::{listen, listen_datagrams, serve, ListenError, KEEP_ALIVE};
 use stacktack_node::logging;
 use stacktack_node::metrics::{Metrics, MetricsError};
--- a/crates/stacktack-router/src/shared.rs
+++ b/crates/stacktack-router/src/shared.rs
@@ -7,7 +7,7 @@
 use stacktack_core::dispatch::record::RequestRecord;
 use stacktack_core::dispatch::view::RouterView;
 use stacktack_core::dispatch::DispatchCounters;
-use stacktack_node::control::ProcessClock;
+use stacktack_node::clock::ProcessClock;
 use stacktack_wire::identity::RequestId;
 use stacktack_wire::message::EncodedChanges;
 use tokio::sync::mpsc::UnboundedSender;
