--- a/crates/stacktack-core/src/direct/quarantine/mod.rs
+++ b/crates/stacktack-core/src/direct/quarantine/mod.rs
@@ -35,9 +35,6 @@
 /// Verdicts among them; who makes one has ended four back ends.
 const MOST_SET_ASIDE: usize = 512;
 
-/// Time after which a record without a verdict is forgotten: more than a caller's tries take.
-const KEEP: Duration = Duration::from_secs(600);
-
 /// Records in one datagram, 20 to 60 bytes each.
 const TOLD: usize = 8;
 
@@ -315,7 +312,7 @@
 
     /// Forgets what is too old to count.
     pub fn expire(&mut self, now: Time) {
-        self.records.retain(|_, record| !record.is_over(KEEP, now));
+        self.records.retain(|_, record| !record.is_over(now));
     }
 
     /// Makes room for one more record: at the cost of what is neither suspect nor set aside, then
--- a/crates/stacktack-core/src/direct/quarantine/record.rs
+++ b/crates/stacktack-core/src/direct/quarantine/record.rs
@@ -24,6 +24,11 @@
 /// goes to, chosen before, is left for those that cause them (`tests/quarantine.rs`).
 const VERDICT_TRIAL_DEATHS: usize = 2;
 
+/// Time after which a record is forgotten that nobody asked for: a request that comes less often than
+/// each hour ends a back end each time, a suspect that comes less often than each day.
+const KEEP_WATCHED: Duration = Duration::from_secs(3600);
+const KEEP_SUSPECT: Duration = Duration::from_secs(24 * 3600);
+
 /// Lives that are remembered for one request: more add nothing.
 const MOST_LIVES: usize = 6;
 
@@ -200,9 +205,14 @@
         }
     }
 
-    /// Whether it is too old to count: nothing but a verdict is kept for long.
-    pub fn is_over(&self, keep: Duration, now: Time) -> bool {
-        !self.set_aside && now.since(self.used) >= keep
+    /// Whether it is too old to count. A verdict never is.
+    pub fn is_over(&self, now: Time) -> bool {
+        let keep = match self.treatment() {
+            Treatment::SetAside => return false,
+            Treatment::Trial => KEEP_SUSPECT,
+            Treatment::Usual | Treatment::Watched => KEEP_WATCHED,
+        };
+        now.since(self.used) >= keep
     }
 }
 
--- a/crates/stacktack-core/tests/directory.rs
+++ b/crates/stacktack-core/tests/directory.rs
@@ -5,7 +5,7 @@
 
 use stacktack_core::configuration::selector::Labels;
 use stacktack_core::direct::back_ends::directory::{
-    BackEndEntry, Departure, DirectoryChange, DirectoryDelta,
+    BackEndEntry, Departure, DirectoryChange, DirectoryDelta, LifeId, VanishedLife,
 };
 use stacktack_core::direct::back_ends::BackEnds;
 use stacktack_core::direct::sources::departure::HeldDepartures;
@@ -124,3 +124,63 @@
     assert_eq!(held.release(), [departure("b", 18)]);
     assert_eq!(held.decided(20), 20);
 }
+
+fn life(born: u64, revision: u64) -> BackEndEntry {
+    BackEndEntry {
+        born,
+        ..entry("a", revision)
+    }
+}
+
+#[test]
+fn nothing_is_believed_of_the_life_before_under_the_same_id() {
+    let mut all = BackEnds::default();
+    let mut change = DirectoryChange::default();
+    all.upsert(life(100, 1), Time(0), &mut change);
+    let known = all.get_mut("a").expect("is known");
+    known.on_send(Time(0));
+    known.load.on_told(9, Time(5));
+    for _ in 0..9 {
+        known.on_outcome(true, Time(5));
+        known.on_unreachable(Time(5));
+    }
+    known.on_replaced();
+    let before = LifeId::of(&known.entry);
+    all.upsert(life(200, 2), Time(10), &mut change);
+    let known = all.get("a").expect("is known");
+    assert_eq!(change.reborn, ["a"]);
+    let vanished = [VanishedLife {
+        back_end: "a".to_owned(),
+        life: before,
+    }];
+    assert_eq!(change.vanished, vanished);
+    assert_ne!(LifeId::of(&known.entry), before);
+    assert_eq!(known.load.in_flight, 0);
+    assert!(known.load.told(Time(10)).is_none());
+    assert!(!known.is_suspect() && known.may_get_requests(Time(10)));
+}
+
+#[test]
+fn an_earlier_life_never_comes_back() {
+    let mut all = BackEnds::default();
+    let mut change = DirectoryChange::default();
+    all.upsert(life(200, 2), Time(0), &mut change);
+    all.upsert(life(100, 9), Time(10), &mut change);
+    assert_eq!(all.get("a").expect("is known").entry, life(200, 2));
+    assert!(change.reborn.is_empty());
+}
+
+#[test]
+fn a_planned_end_is_no_vanished_life() {
+    let mut all = read_whole();
+    let mut change = DirectoryChange::default();
+    let leaving = BackEndEntry {
+        leaving: true,
+        ..entry("a", 11)
+    };
+    all.upsert(leaving, Time(0), &mut change);
+    all.remove(departure("a", 12), &mut change);
+    all.remove(departure("b", 13), &mut change);
+    let vanished = change.vanished.iter().map(|life| life.back_end.as_str());
+    assert_eq!(vanished.collect::<Vec<_>>(), ["b"]);
+}
--- a/crates/stacktack-core/tests/quarantine/main.rs
+++ b/crates/stacktack-core/tests/quarantine/main.rs
@@ -6,19 +6,16 @@
 mod event_queue;
 mod world;
 
-use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use stacktack_core::direct::back_ends::directory::{BackEndEntry, LifeId};
+use stacktack_core::direct::back_ends::directory::LifeId;
 use stacktack_core::direct::quarantine::broken_runs::{BrokenRun, BrokenRuns};
-use stacktack_core::direct::quarantine::digest::{RequestDigest, RequestIdentity};
 use stacktack_core::direct::quarantine::record::{RecordNews, Treatment};
 use stacktack_core::direct::quarantine::{Quarantine, StoredVerdict};
 use stacktack_core::time::Time;
-use world::{Outcome, Plan, World};
+use world::{digest, life_of, Outcome, Plan, World};
 
 const SECOND: Duration = Duration::from_secs(1);
 const NOW: Time = Time(100_000_000);
@@ -124,27 +121,8 @@
     }
 }
 
-fn digest(number: u64) -> RequestDigest {
-    RequestDigest::of(&RequestIdentity {
-        caller: "caller",
-        method: "GET",
-        host: "host",
-        target: "/",
-        body: &number.to_le_bytes(),
-    })
-}
-
 fn life(number: u64) -> LifeId {
-    LifeId::of(&BackEndEntry {
-        id: "b".to_owned(),
-        born: number,
-        address: SocketAddr::from(([10, 0, 0, 1], 80)),
-        labels: HashMap::new().into_iter().collect(),
-        slots: 1,
-        leaving: false,
-        cold_for: Duration::ZERO,
-        revision: 1,
-    })
+    life_of(0, number)
 }
 
 /// A quarantine in which request 1 is set aside.
@@ -324,23 +302,32 @@
 }
 
 #[test]
-fn records_without_a_verdict_are_forgotten() {
+fn records_without_a_verdict_are_forgotten_in_the_end() {
     let mut quarantine = convicted();
     quarantine.on_death(digest(2), life(1), false, NOW);
-    quarantine.expire(NOW + SECOND * 599);
-    assert_eq!(
-        quarantine.treatment(digest(2), NOW + SECOND * 599),
-        Treatment::Watched
-    );
-    quarantine.expire(NOW + SECOND * 1200);
-    assert_eq!(
-        quarantine.treatment(digest(2), NOW + SECOND * 1200),
-        Treatment::Usual
-    );
-    assert_eq!(
-        quarantine.treatment(digest(1), NOW + SECOND * 1200),
-        Treatment::SetAside
-    );
+    quarantine.on_death(digest(3), life(1), false, NOW);
+    quarantine.on_death(digest(3), life(2), false, NOW);
+    let expected = [
+        (
+            3599,
+            [Treatment::SetAside, Treatment::Watched, Treatment::Trial],
+        ),
+        (
+            3600,
+            [Treatment::SetAside, Treatment::Usual, Treatment::Trial],
+        ),
+        (
+            24 * 3600,
+            [Treatment::SetAside, Treatment::Usual, Treatment::Usual],
+        ),
+    ];
+    for (seconds, treatments) in expected {
+        let at = NOW + SECOND * seconds;
+        let mut later = quarantine.clone();
+        later.expire(at);
+        let seen = [1, 2, 3].map(|number| later.treatment(digest(number), at));
+        assert_eq!(seen, treatments, "after {seconds} s");
+    }
 }
 
 #[test]
--- a/crates/stacktack-core/tests/quarantine/world.rs
+++ b/crates/stacktack-core/tests/quarantine/world.rs
@@ -137,7 +137,7 @@
     ))
 }
 
-fn digest(request: u64) -> RequestDigest {
+pub fn digest(request: u64) -> RequestDigest {
     RequestDigest::of(&RequestIdentity {
         caller: "caller",
         method: "POST",
@@ -151,7 +151,7 @@
     format!("b-{back_end}")
 }
 
-fn life_of(back_end: usize, life: u64) -> LifeId {
+pub fn life_of(back_end: usize, life: u64) -> LifeId {
     LifeId::of(&BackEndEntry {
         id: id(back_end),
         born: life + 1,
--- a/crates/stacktack-direct/src/admission.rs
+++ b/crates/stacktack-direct/src/admission.rs
@@ -88,11 +88,13 @@
         if let Some(digest) = digest.get() {
             log::info!(target: "quarantine", "id={id_text} request={digest} refused=true");
         }
-        // Before it counts for the pool: it earns no repeat.
         return Err(refused(RefusalKind::SetAside));
     }
     let target = route.draw_target(rand::rng().next_u32());
-    router.count_request(&route.targets[target].back_ends);
+    if treatment < Treatment::Trial {
+        // A suspect gets no repeats and earns none.
+        router.count_request(&route.targets[target].back_ends);
+    }
     router.exchanges.set(router.exchanges.get() + 1);
     Ok(Box::new(Exchange {
         router: router.clone(),
--- a/crates/stacktack-direct/src/lib.rs
+++ b/crates/stacktack-direct/src/lib.rs
@@ -9,7 +9,7 @@
 //! - [`ports`]: what an adapter supplies.
 //! - [`app`]: start, signals, stop.
 //! - `server`: callers' connections. `connection`: back-end connections.
-//! - `admission`, `exchange`, `sending`, `choice`, `attempt`: one request from
+//! - `admission`, `exchange`, `sending`, `candidates`, `choice`, `attempt`: one request from
 //!   head to end; `room`: whether its pool and the router take it; `back_end_end`: whether
 //!   what broke an attempt was the end of its back end; `quarantine`: requests that end back ends. `held`, `respond`, `answer`: answers on their way to callers.
 //! - [`followers`]: configuration and directory. `news`, [`datagram`]: what routers tell each
@@ -23,6 +23,7 @@
 mod attempt;
 mod back_end_end;
 pub mod calls;
+mod candidates;
 mod choice;
 pub mod client;
 pub mod clock;
--- a/crates/stacktack-direct/src/quarantine.rs
+++ b/crates/stacktack-direct/src/quarantine.rs
@@ -8,9 +8,10 @@
 use stacktack_core::direct::quarantine::TreatmentChange;
 use stacktack_core::direct::traffic::route::Tenant;
 
+use crate::candidates::Candidates;
 use crate::choice::Choice;
 use crate::exchange::Exchange;
-use crate::router::{Candidates, Router};
+use crate::router::Router;
 
 /// A back end whose load is above this multiple of the mean, and this many requests, gets
 /// nobody who is only watched: below the load bound with room for what is on its way.
--- a/crates/stacktack-direct/src/router.rs
+++ b/crates/stacktack-direct/src/router.rs
@@ -9,15 +9,12 @@
 
 use rand::{Rng, RngExt};
 use stacktack_core::configuration::selector::{matches_all, Requirement};
-use stacktack_core::direct::admission::pool_load::{LoadReport, PoolLoad};
-use stacktack_core::direct::admission::{PoolAdmission, SlotLimit};
+use stacktack_core::direct::admission::PoolAdmission;
 use stacktack_core::direct::back_ends::directory::LifeId;
 use stacktack_core::direct::back_ends::slow_start::KnownFleet;
-use stacktack_core::direct::back_ends::suspicion::RequestRisk;
 use stacktack_core::direct::back_ends::zone_drain::{ZoneDrain, ZoneDrainNews, ZoneDrains};
 use stacktack_core::direct::back_ends::BackEnds;
 use stacktack_core::direct::choice::places::PrefixPlaces;
-use stacktack_core::direct::choice::select::DirectCandidate;
 use stacktack_core::direct::peers::peer_news::{ShortId, ZoneHash};
 use stacktack_core::direct::peers::Peers;
 use stacktack_core::direct::quarantine::broken_runs::BrokenRuns;
@@ -421,98 +418,12 @@
         act(admissions.entry(pool.to_owned()).or_default())
     }
 
-    /// Candidates of a pool for a request. Without a limit all have room.
-    pub fn candidates(
-        &self,
-        pool: &[Requirement],
-        excluded: &[String],
-        request: RequestRisk,
-        limit: Option<SlotLimit>,
-    ) -> Candidates {
-        let now = self.now();
-        let zone_drains = self.zone_drains.borrow();
-        let mut back_ends = self.back_ends.borrow_mut();
-        let members = back_ends.pool(now, request, |entry| {
-            matches_all(pool, &entry.labels) && !excluded.contains(&entry.id)
-        });
-        let mut candidates = Candidates::default();
-        for (index, (member, standing)) in members.into_iter().enumerate() {
-            let zone = member.entry.zone();
-            let drained = zone_drains.covers(&member.entry);
-            let load = member.load.believed(now);
-            let age = member.load.news_age(now);
-            let slots = member.entry.slots;
-            // Where nothing is known of others' requests, the own ones have to stay
-            // within the limit.
-            let not_counted = match age {
-                Some(_) => 0.0,
-                None => load - f64::from(member.load.in_flight),
-            };
-            candidates.list.push(DirectCandidate {
-                index,
-                id_hash: member.id_hash,
-                load,
-                limit: limit.map_or(f64::INFINITY, |limit| limit.requests(slots) + not_counted),
-                same_zone: zone == Some(&self.settings.zone),
-                standing,
-                open: !drained && member.may_get_requests(now),
-            });
-            candidates.reports.push(LoadReport { load, slots, age });
-            candidates.ids.push(member.entry.id.clone());
-        }
-        candidates
-    }
-
     /// Routers that send to the same pools, this one among them.
     pub fn routers(&self) -> usize {
         self.peers.borrow().alive() + 1
     }
 }
 
-/// Members of a pool as a request finds them.
-#[derive(Debug, Default)]
-pub struct Candidates {
-    /// What decides the choice.
-    pub list: Vec<DirectCandidate>,
-    /// What is known of their loads, in the same order.
-    reports: Vec<LoadReport>,
-    /// Their ids, in the same order.
-    pub ids: Vec<String>,
-}
-
-impl Candidates {
-    /// Load of the pool, over those that may get requests and stand best; `None` where it
-    /// is not known.
-    pub fn pool_load(&self) -> Option<PoolLoad> {
-        let open = self.list.iter().filter(|candidate| candidate.open);
-        let best = open.map(|candidate| candidate.standing).min()?;
-        let stands_best =
-            |(candidate, _): &(&DirectCandidate, _)| candidate.open && candidate.standing == best;
-        let pairs = self.list.iter().zip(&self.reports).filter(stands_best);
-        let reports: Vec<LoadReport> = pairs.map(|(_, report)| *report).collect();
-        PoolLoad::of(&reports)
-    }
-
-    /// Mean of the loads, 0 for no member.
-    pub fn mean_load(&self) -> f64 {
-        let sum: f64 = self.list.iter().map(|candidate| candidate.load).sum();
-        sum / self.list.len().max(1) as f64
-    }
-
-    /// Takes for each member the load that is to be expected from the age of its news,
-    /// and the limit that follows from the load of the pool.
-    pub fn judge_by(&mut self, pool: &PoolLoad, hold_seconds: f64) {
-        for (candidate, report) in self.list.iter_mut().zip(&self.reports) {
-            candidate.load = if candidate.open {
-                pool.expected(report, hold_seconds)
-            } else {
-                report.left(hold_seconds)
-            };
-            candidate.limit = pool.limit(candidate.limit);
-        }
-    }
-}
-
 /// A short name of a pool, for logs, metrics and its retry budget.
 pub fn pool_name(pool: &[Requirement]) -> &str {
     pool.iter()
--- /dev/null
+++ b/crates/stacktack-direct/tests/datagrams.rs
@@ -0,0 +1,89 @@
+//! Datagrams between routers of this and of earlier releases.
+
+#[path = "common/steady_peer.rs"]
+mod steady_peer;
+
+use std::net::SocketAddr;
+
+use stacktack_core::direct::peers::peer_news::{PeerNews, ShortId};
+use stacktack_core::direct::peers::MAXIMUM_DATAGRAM;
+use stacktack_core::direct::quarantine::digest::{RequestDigest, RequestIdentity};
+use stacktack_core::direct::quarantine::record::RecordNews;
+use stacktack_direct::datagram::{decode, encode};
+
+use steady_peer::steady_peer;
+
+fn news() -> PeerNews {
+    steady_peer(SocketAddr::from(([127, 0, 0, 1], 10)), 3, 4)
+}
+
+fn record(number: u8) -> RecordNews {
+    RecordNews {
+        digest: RequestDigest::of(&RequestIdentity {
+            caller: "caller",
+            method: "GET",
+            host: "host",
+            target: "/",
+            body: &[number],
+        }),
+        epoch: 2,
+        deaths: Vec::new(),
+        trial_deaths: Vec::new(),
+        set_aside: true,
+        stored: false,
+    }
+}
+
+#[test]
+fn what_is_written_is_read() {
+    let records = [record(1), record(2)];
+    let bytes = encode(&news(), &records).expect("a datagram");
+    let datagram = decode(&bytes).expect("valid");
+    assert_eq!(datagram.news, news());
+    assert_eq!(datagram.records, records);
+}
+
+#[test]
+fn earlier_releases_read_the_news_and_leave_the_rest() {
+    let bytes = encode(&news(), &[record(1)]).expect("a datagram");
+    let read: PeerNews = postcard::from_bytes(&bytes).expect("valid there");
+    assert_eq!(read, news());
+}
+
+/// Bytes that the release before sent for this news.
+#[test]
+fn news_of_earlier_releases_is_read_without_records() {
+    let bytes = [
+        0, 127, 0, 0, 1, 10, 1, 160, 155, 1, 3, 4, 1, 1, 0, 0, 0, 0, 0, 0,
+    ];
+    let fixture = postcard::from_bytes::<PeerNews>(&bytes);
+    let written = postcard::to_allocvec(&news()).expect("bytes");
+    assert_eq!(written.as_slice(), bytes, "the layout of news is unchanged");
+    assert_eq!(fixture.ok(), Some(news()));
+    let datagram = decode(&bytes).expect("valid");
+    assert!(datagram.records.is_empty());
+}
+
+#[test]
+fn records_that_do_not_fit_wait() {
+    let mut large = news();
+    large.loads = vec![(ShortId([1, 2, 3]), u16::MAX); 215];
+    let records: Vec<_> = (0..20).map(record).collect();
+    let bytes = encode(&large, &records).expect("a datagram");
+    assert!(bytes.len() <= MAXIMUM_DATAGRAM);
+    let read = decode(&bytes).expect("valid").records;
+    assert!(
+        read.len() < 20 && read == records[..read.len()],
+        "{}",
+        read.len()
+    );
+}
+
+#[test]
+fn what_is_no_datagram_is_refused() {
+    assert!(decode(&[]).is_err());
+    assert!(decode(&[9; 40]).is_err());
+    let mut bytes = encode(&news(), &[record(1)]).expect("a datagram");
+    bytes.truncate(bytes.len() - 3);
+    assert!(decode(&bytes).is_err());
+}
--- a/crates/stacktack-direct/tests/suspension.rs
+++ b/crates/stacktack-direct/tests/suspension.rs
@@ -212,19 +212,15 @@
     );
     clock.suspend(EIGHT);
     router.look_for_suspension();
-    let silent = router
-        .back_ends
-        .borrow()
-        .get("b")
-        .expect("is known")
-        .is_silent(router.now());
+    let silent = is_silent(&router);
     assert!(!silent);
     after(500).await;
-    let silent = router
-        .back_ends
-        .borrow()
-        .get("b")
-        .expect("is known")
-        .is_silent(router.now());
+    let silent = is_silent(&router);
     assert!(silent, "silence counts from the moment at which it wakes");
 }
+
+fn is_silent(router: &Router) -> bool {
+    let back_ends = router.back_ends.borrow();
+    let back_end = back_ends.get("b").expect("is known");
+    back_end.is_silent(router.now())
+}
--- /dev/null
+++ b/crates/stacktack-direct/tests/verdicts.rs
@@ -0,0 +1,221 @@
+//! Verdicts and the store that keeps them, on virtual time.
+
+mod common;
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use stacktack_core::direct::back_ends::directory::{BackEndEntry, LifeId};
+use stacktack_core::direct::quarantine::digest::{RequestDigest, RequestIdentity};
+use stacktack_core::direct::quarantine::record::Treatment;
+use stacktack_core::direct::quarantine::StoredVerdict;
+use stacktack_direct::followers::{follow_verdicts, Dependency};
+use stacktack_direct::ports::{LocalBoxFuture, SourceError, VerdictStore};
+use stacktack_direct::router::Router;
+use stacktack_direct::transfer::Transfer;
+
+use common::{after, router, router_with};
+
+#[derive(Default)]
+struct Store {
+    down: Cell<bool>,
+    verdicts: RefCell<BTreeMap<RequestDigest, u32>>,
+    reads: Cell<u32>,
+    writes: Cell<u32>,
+}
+
+impl Store {
+    fn check(&self) -> Result<(), SourceError> {
+        match self.down.get() {
+            true => Err(SourceError::Refused(503)),
+            false => Ok(()),
+        }
+    }
+}
+
+impl VerdictStore for Store {
+    fn verdicts(
+        &self,
+        _: Rc<Transfer>,
+    ) -> LocalBoxFuture<'_, Result<Vec<StoredVerdict>, SourceError>> {
+        self.reads.set(self.reads.get() + 1);
+        Box::pin(async move {
+            self.check()?;
+            let verdicts = self.verdicts.borrow();
+            let verdicts = verdicts.iter();
+            Ok(verdicts
+                .map(|(digest, epoch)| StoredVerdict {
+                    digest: *digest,
+                    epoch: *epoch,
+                })
+                .collect())
+        })
+    }
+
+    fn change_verdicts(
+        &self,
+        stored: &[StoredVerdict],
+        dropped: &[RequestDigest],
+        _: Rc<Transfer>,
+    ) -> LocalBoxFuture<'_, Result<(), SourceError>> {
+        self.writes.set(self.writes.get() + 1);
+        let (stored, dropped) = (stored.to_vec(), dropped.to_vec());
+        Box::pin(async move {
+            self.check()?;
+            let mut verdicts = self.verdicts.borrow_mut();
+            verdicts.extend(stored.iter().map(|verdict| (verdict.digest, verdict.epoch)));
+            verdicts.retain(|digest, _| !dropped.contains(digest));
+            Ok(())
+        })
+    }
+}
+
+fn request() -> RequestDigest {
+    RequestDigest::of(&RequestIdentity {
+        caller: "caller",
+        method: "GET",
+        host: "host",
+        target: "/",
+        body: b"",
+    })
+}
+
+fn life(born: u64) -> LifeId {
+    LifeId::of(&BackEndEntry {
+        id: "b".to_owned(),
+        born,
+        address: SocketAddr::from(([127, 0, 0, 1], 80)),
+        labels: Default::default(),
+        slots: 1,
+        leaving: false,
+        cold_for: Duration::ZERO,
+        revision: 1,
+    })
+}
+
+fn convict(router: &Router) {
+    for born in 1..=3 {
+        let now = router.now();
+        let mut quarantine = router.quarantine.borrow_mut();
+        quarantine.on_death(request(), life(born), true, now);
+    }
+}
+
+fn treatment(router: &Router) -> Treatment {
+    let now = router.now();
+    router.quarantine.borrow_mut().treatment(request(), now)
+}
+
+fn start(router: &Rc<Router>, store: &Rc<Store>) {
+    let dependency = Rc::new(Dependency::new("store").expect("a chart"));
+    tokio::task::spawn_local(follow_verdicts(router.clone(), store.clone(), dependency));
+}
+
+async fn play(story: impl Future<Output = ()>) {
+    tokio::task::LocalSet::new().run_until(story).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_router_that_starts_knows_what_was_set_aside_before() {
+    play(async {
+        let store = Rc::new(Store::default());
+        store.verdicts.borrow_mut().insert(request(), 3);
+        let router = router();
+        start(&router, &store);
+        after(10).await;
+        assert_eq!(treatment(&router), Treatment::SetAside);
+        after(10_000).await;
+        assert_eq!((store.reads.get(), store.writes.get()), (1, 0));
+    })
+    .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_verdict_is_written_once_the_store_answers() {
+    play(async {
+        let store = Rc::new(Store::default());
+        let router = router();
+        start(&router, &store);
+        after(500).await;
+        store.down.set(true);
+        convict(&router);
+        after(5_000).await;
+        assert!(store.verdicts.borrow().is_empty() && store.writes.get() > 3);
+        store.down.set(false);
+        after(2_000).await;
+        assert_eq!(store.verdicts.borrow().get(&request()), Some(&0));
+        let writes = store.writes.get();
+        after(10_000).await;
+        assert_eq!(store.writes.get(), writes);
+    })
+    .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_verdict_is_lifted_by_dropping_it_or_by_a_good_run() {
+    play(async {
+        let store = Rc::new(Store::default());
+        let router = router();
+        start(&router, &store);
+        after(500).await;
+        convict(&router);
+        after(500).await;
+        assert_eq!(store.verdicts.borrow().len(), 1);
+        store.verdicts.borrow_mut().clear();
+        after(80_000).await;
+        assert_eq!(
+            treatment(&router),
+            Treatment::Usual,
+            "an operator dropped it"
+        );
+        convict(&router);
+        after(500).await;
+        assert_eq!(store.verdicts.borrow().get(&request()), Some(&1));
+        let now = router.now();
+        router.quarantine.borrow_mut().on_good_run(request(), now);
+        after(500).await;
+        assert!(store.verdicts.borrow().is_empty(), "a run of it ended well");
+    })
+    .await;
+}
+
+/// Half of the peers fell silent: what they know comes over the store only.
+#[tokio::test(start_paused = true)]
+async fn a_router_that_misses_its_peers_reads_each_second() {
+    play(async {
+        let store = Rc::new(Store::default());
+        let router = router_with(Rc::new(stacktack_direct::clock::RuntimeClock::start()));
+        start(&router, &store);
+        after(500).await;
+        assert_eq!(store.reads.get(), 1);
+        hear_one_peer(&router);
+        after(2_000).await;
+        assert_eq!(store.reads.get(), 1, "it was just heard");
+        after(1_000).await;
+        router
+            .peers
+            .borrow_mut()
+            .tick(&Default::default(), router.now());
+        after(10_000).await;
+        let reads = store.reads.get();
+        assert!((9..=12).contains(&reads), "{reads}");
+        store.verdicts.borrow_mut().insert(request(), 0);
+        after(1_200).await;
+        assert_eq!(treatment(&router), Treatment::SetAside);
+    })
+    .await;
+}
+
+fn hear_one_peer(router: &Router) {
+    let from = SocketAddr::from(([127, 0, 0, 1], 10));
+    let news = steady_peer::steady_peer(from, 0, 0);
+    let now = router.now();
+    router.peers.borrow_mut().receive(&news, now);
+}
+
+#[path = "common/steady_peer.rs"]
+mod steady_peer;
