An end shows by any request that is refused there, not only by the look

Cause (read, not seen): a look that is lost on its way (100 ms) left the deaths of that router unnoted until the entry vanished, 3.6 s later. A refused connection of any other request shows the same. Test: an_end_shows_by_the_next_request_that_is_refused.

--- a/crates/stacktack-direct/src/back_end_end.rs
+++ b/crates/stacktack-direct/src/back_end_end.rs
@@ -139,6 +139,15 @@
         }
     }
 
+    /// A request found nobody there. Where runs had broken off and the look at that was lost on
+    /// its way, this shows that the back end ended.
+    pub(crate) fn on_refused(&self, back_end: &str, life: LifeId) {
+        let waiting = self.broken_runs.borrow().is_waiting(life);
+        if waiting {
+            self.on_back_end_ended(back_end, life, "refused");
+        }
+    }
+
     fn is_leaving(&self, back_end: &str) -> bool {
         let back_ends = self.back_ends.borrow();
         let known = back_ends.get(back_end);
--- a/crates/stacktack-direct/src/client.rs
+++ b/crates/stacktack-direct/src/client.rs
@@ -4,6 +4,7 @@
 //! here repeats, redirects or pools. A connection that is dropped is closed at
 //! once, which is how a request under way is cancelled.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -45,6 +46,13 @@
     Http(#[from] hyper::Error),
 }
 
+impl ConnectError {
+    /// Whether nobody listens there.
+    pub fn is_refused(&self) -> bool {
+        matches!(self, ConnectError::Io(error) if error.kind() == ErrorKind::ConnectionRefused)
+    }
+}
+
 /// A request got no answer.
 #[derive(Debug, Error)]
 pub enum SendError {
--- a/crates/stacktack-direct/src/sending.rs
+++ b/crates/stacktack-direct/src/sending.rs
@@ -134,7 +134,12 @@
                 Some(connection) => (connection, true),
                 None => match self.open_connection(address).await {
                     Ok(connection) => (connection, false),
-                    Err(_) => return Err(AttemptFailure::Unreached),
+                    Err(error) => {
+                        if error.is_refused() {
+                            self.router.on_refused(&attempt.back_end, attempt.life);
+                        }
+                        return Err(AttemptFailure::Unreached);
+                    }
                 },
             };
             let request = self.back_end_request(attempt, resume_after, fetch_from);
