--- a/crates/stacktack-direct/src/back_end_end.rs
+++ b/crates/stacktack-direct/src/back_end_end.rs
@@ -11,10 +11,9 @@
 use stacktack_core::direct::quarantine::broken_runs::BrokenRun;
 use stacktack_core::direct::request::attempt::AttemptFailure;
 use stacktack_core::time::Time;
-use tokio::net::TcpStream;
-use tokio::time::timeout;
 
 use crate::attempt::Attempt;
+use crate::client::connect;
 use crate::exchange::Exchange;
 use crate::router::Router;
 
@@ -95,17 +94,15 @@
 }
 
 async fn look(router: Rc<Router>, subject: Subject) {
-    let connected = timeout(LOOK_LIMIT, TcpStream::connect(subject.address)).await;
     let id = &subject.id;
-    match connected {
-        Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
+    match connect(subject.address, LOOK_LIMIT).await {
+        Ok(_) => log::info!(target: "ended", "back_end={id} ended=false cause=accepts"),
+        Err(error) if error.is_refused() => {
             router.on_back_end_ended(id, subject.life, "refused");
         }
-        Ok(Ok(_)) => log::info!(target: "ended", "back_end={id} ended=false cause=accepts"),
-        Ok(Err(error)) => {
+        Err(error) => {
             log::info!(target: "ended", "back_end={id} ended=unknown cause=\"{error}\"");
         }
-        Err(_) => log::info!(target: "ended", "back_end={id} ended=unknown cause=no_answer"),
     }
 }
 
--- a/crates/stacktack-direct/src/client.rs
+++ b/crates/stacktack-direct/src/client.rs
@@ -151,7 +151,11 @@
     }
 }
 
-async fn connect(address: SocketAddr, limit: Duration) -> Result<TcpStream, ConnectError> {
+/// Connects within a time limit, for whoever wants to know whether that is possible.
+pub(crate) async fn connect(
+    address: SocketAddr,
+    limit: Duration,
+) -> Result<TcpStream, ConnectError> {
     let stream = timeout(limit, TcpStream::connect(address))
         .await
         .map_err(|_| ConnectError::Timeout)??;
--- a/crates/stacktack-direct/src/metrics.rs
+++ b/crates/stacktack-direct/src/metrics.rs
@@ -117,8 +117,8 @@
         self.stale_loads.record(back_ends as u64, &[]);
     }
 
-    /// Counts a suspension of the machine.
-    pub fn count_suspension(&self, seconds: f64) {
+    /// Records a suspension of the machine.
+    pub fn record_suspension(&self, seconds: f64) {
         self.suspended.record(seconds, &[]);
     }
 
--- a/crates/stacktack-direct/src/suspension.rs
+++ b/crates/stacktack-direct/src/suspension.rs
@@ -36,7 +36,7 @@
             suspended.as_millis(),
             self.exchanges.get(),
         );
-        self.metrics.count_suspension(suspended.as_secs_f64());
+        self.metrics.record_suspension(suspended.as_secs_f64());
         // Their other ends may be gone, and nothing tells so before something is sent.
         self.connections.borrow_mut().clear();
         self.back_ends.borrow_mut().on_suspended(now);
