--- a/crates/stacktack-direct/src/exchange.rs
+++ b/crates/stacktack-direct/src/exchange.rs
@@ -228,7 +228,8 @@
             return false;
         }
         if let Some(look) = self.look.take() {
-            // Whether its back end ended counts for how it is treated: 2 to 6 ms in a region.
+            // Whether its back end ended counts for how it is treated. A refused connection took 3 ms
+            // between zones of a region.
             look.await;
         }
         if self.treatment() >= Treatment::Trial {
