A suspect is tried at the other of its two back ends while one is away

Cause: what was tried was left out before the two were named, so that a third could be; a back end that had just ended was chosen and, found unreachable, ended the try (503). Now the two are named among all of the pool, those that ended are passed by, and a try that reached nobody goes on. Test first: 503 before, 200 after, which clears the suspect.

--- a/crates/stacktack-direct/src/exchange.rs
+++ b/crates/stacktack-direct/src/exchange.rs
@@ -218,8 +218,8 @@
         );
     }
 
-    /// Whether ledger and budget allow one more send. A suspect gets none: repeats are earned
-    /// by all, and one more run of it may end one more back end.
+    /// Whether ledger and budget allow one more send. A suspect that arrived gets none: repeats
+    /// are earned by all, and one more run of it may end one more back end.
     async fn may_try_again(&mut self) -> bool {
         if !self
             .ledger
@@ -232,7 +232,7 @@
             // between zones of a region.
             look.await;
         }
-        if self.treatment() >= Treatment::Trial {
+        if self.ledger.has_arrived() && self.treatment() >= Treatment::Trial {
             return false;
         }
         !self.ledger.has_arrived() || self.router.take_retry(&self.id, self.pool())
--- a/crates/stacktack-direct/src/quarantine.rs
+++ b/crates/stacktack-direct/src/quarantine.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use hyper::http::request;
+use stacktack_core::direct::back_ends::directory::LifeId;
 use stacktack_core::direct::quarantine::digest::{RequestDigest, RequestIdentity};
 use stacktack_core::direct::quarantine::record::Treatment;
 use stacktack_core::direct::quarantine::trial::select_for_trial;
@@ -116,17 +117,29 @@
     /// The back end for a trial; `None` while none that may take it can.
     pub(crate) fn select_for_trial(&self, treatment: Treatment) -> Option<Choice> {
         let router = &self.router;
-        let candidates = router.candidates(self.pool(), &self.tried, self.risk(), None);
+        // With those that were tried: the digest names its back ends among all of the pool.
+        let candidates = router.candidates(self.pool(), &[], self.risk(), None);
         let mean = candidates.mean_load();
         let most = WATCHED_LOAD_FACTOR * mean + WATCHED_LOAD_SLACK;
         let chosen = select_for_trial(&candidates.list, self.digest(), |candidate| {
             let id = &candidates.ids[candidate.index];
-            let free = !router.trials.borrow().contains(id);
-            free && (treatment == Treatment::Trial || candidate.load <= most)
+            self.is_free_for_trial(id) && (treatment == Treatment::Trial || candidate.load <= most)
         })?;
         Some(self.trial_choice(&candidates, chosen.index, mean))
     }
 
+    /// Whether a back end was not tried yet, runs no other suspect and did not end just now.
+    fn is_free_for_trial(&self, back_end: &str) -> bool {
+        let router = &self.router;
+        let back_ends = router.back_ends.borrow();
+        let life = back_ends
+            .get(back_end)
+            .map(|known| LifeId::of(&known.entry));
+        let has_ended = life.is_some_and(|life| router.broken_runs.borrow().has_ended(life));
+        let is_tried = self.tried.iter().any(|tried| tried == back_end);
+        !has_ended && !is_tried && !router.trials.borrow().contains(back_end)
+    }
+
     fn trial_choice(&self, candidates: &Candidates, index: usize, mean: f64) -> Choice {
         let candidate = &candidates.list[index];
         let back_end = candidates.ids[index].clone();
