--- a/crates/stacktack-core/src/direct/quarantine/broken_runs.rs
+++ b/crates/stacktack-core/src/direct/quarantine/broken_runs.rs
@@ -26,7 +26,7 @@
     /// Id of the try, for logs.
     pub id: String,
     /// Whether the back end ran it as a suspect, apart from other suspects.
-    pub on_trial: bool,
+    pub on_probation: bool,
     /// When it broke off.
     pub at: Time,
 }
--- a/crates/stacktack-core/src/direct/quarantine/mod.rs
+++ b/crates/stacktack-core/src/direct/quarantine/mod.rs
@@ -2,9 +2,9 @@
 //!
 //! A back end that ends takes all that it was running with it, and each router knows only its
 //! own part of that. Each notes a death for every request of its own that broke there, and tells
-//! the others. From the first death on a request runs on trial where it can, from the second on only so:
+//! the others. From the first death on a request runs on probation where it can, from the second on only so:
 //! at one of two back ends that its digest names, beside no other suspect. One under which three
-//! back ends ended, two of them on trial, with no good run since, is set aside: no router sends it to a back end. The store
+//! back ends ended, two of them on probation, with no good run since, is set aside: no router sends it to a back end. The store
 //! keeps that, for routers that start when nobody is left to tell them. One good run clears it.
 //!
 //! Without it a request that comes each 200 ms and ends its back end each time reached
@@ -14,12 +14,12 @@
 //! - [`digest`]: which request it is, whoever tries it and however often.
 //! - [`broken_runs`]: runs that broke off, until it is known whether their back end ended.
 //! - [`record`]: what speaks against one request, mergeable.
-//! - [`trial`]: where a suspect runs.
+//! - [`probation`]: where a suspect runs.
 
 pub mod broken_runs;
 pub mod digest;
+pub mod probation;
 pub mod record;
-pub mod trial;
 
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
@@ -67,8 +67,8 @@
     pub now: Treatment,
     /// Lives that ended under it, as far as known.
     pub deaths: usize,
-    /// Those among them that ended while it was on trial.
-    pub trial_deaths: usize,
+    /// Those among them that ended while it was on probation.
+    pub probation_deaths: usize,
 }
 
 /// What a router knows of requests that end back ends.
@@ -91,9 +91,9 @@
         self.count(Treatment::SetAside)
     }
 
-    /// Requests that run on trial.
-    pub fn on_trial(&self) -> usize {
-        self.count(Treatment::Trial)
+    /// Requests that run on probation.
+    pub fn on_probation(&self) -> usize {
+        self.count(Treatment::Probation)
     }
 
     fn count(&self, treatment: Treatment) -> usize {
@@ -117,11 +117,11 @@
         &mut self,
         digest: RequestDigest,
         life: LifeId,
-        on_trial: bool,
+        on_probation: bool,
         now: Time,
     ) -> Option<TreatmentChange> {
         self.make_room(now);
-        let change = self.change(digest, |record| record.add_death(life, on_trial, now))?;
+        let change = self.change(digest, |record| record.add_death(life, on_probation, now))?;
         if change.now == Treatment::SetAside {
             self.store_at(digest, now);
         }
@@ -179,7 +179,7 @@
             before,
             now,
             deaths: record.deaths(),
-            trial_deaths: record.trial_deaths(),
+            probation_deaths: record.probation_deaths(),
         })
     }
 
--- a/crates/stacktack-core/src/direct/quarantine/trial.rs
+++ b/crates/stacktack-core/src/direct/quarantine/probation.rs
@@ -11,11 +11,11 @@
 
 /// Back ends that a suspect may go to. Two: with one, a suspect that is innocent waits
 /// for as long as that one is away, and nothing tells it from a guilty one.
-const TRIAL_BACK_ENDS: usize = 2;
+const PROBATION_BACK_ENDS: usize = 2;
 
-/// The candidate for a suspect's trial; `None` while none of those that its digest names
+/// The candidate for a suspect's probation; `None` while none of those that its digest names
 /// can take it.
-pub fn select_for_trial(
+pub fn select_for_probation(
     candidates: &[DirectCandidate],
     digest: RequestDigest,
     is_free: impl Fn(&DirectCandidate) -> bool,
@@ -25,7 +25,7 @@
         xxh3_64_with_seed(&candidate.id_hash.to_le_bytes(), digest.number())
     };
     order.sort_unstable_by_key(|candidate| std::cmp::Reverse(score(candidate)));
-    let named = order.into_iter().take(TRIAL_BACK_ENDS);
+    let named = order.into_iter().take(PROBATION_BACK_ENDS);
     let mut able = named.filter(|candidate| {
         candidate.open && candidate.standing != Standing::Ejected && is_free(candidate)
     });
--- a/crates/stacktack-core/src/direct/quarantine/record.rs
+++ b/crates/stacktack-core/src/direct/quarantine/record.rs
@@ -19,10 +19,10 @@
 /// Deaths from which a request may be set aside: three ends are what the promise allows.
 const VERDICT_DEATHS: usize = 3;
 
-/// Deaths on trial that it takes besides, each under another life. A repeat of an innocent
-/// request meets the next end too; that it meets two more at the back ends which its trial
+/// Deaths on probation that it takes besides, each under another life. A repeat of an innocent
+/// request meets the next end too; that it meets two more at the back ends which its probation
 /// goes to, chosen before, is left for those that cause them (`tests/quarantine.rs`).
-const VERDICT_TRIAL_DEATHS: usize = 2;
+const VERDICT_PROBATION_DEATHS: usize = 2;
 
 /// Time after which a record is forgotten that nobody asked for: a request that comes less often than
 /// each hour ends a back end each time, a suspect that comes less often than each day.
@@ -37,11 +37,11 @@
 pub enum Treatment {
     /// As any other.
     Usual,
-    /// As on trial where that is possible, else as any other.
+    /// As on probation where that is possible, else as any other.
     Watched,
-    /// It runs on trial: at one of few back ends that its digest names, beside no other suspect
+    /// It runs on probation: at one of few back ends that its digest names, beside no other suspect
     /// and once for each try of its caller.
-    Trial,
+    Probation,
     /// It is not sent to any back end.
     SetAside,
 }
@@ -52,7 +52,7 @@
         match self {
             Treatment::Usual => "usual",
             Treatment::Watched => "watched",
-            Treatment::Trial => "trial",
+            Treatment::Probation => "probation",
             Treatment::SetAside => "set_aside",
         }
     }
@@ -67,8 +67,8 @@
     pub epoch: u32,
     /// Lives that ended under it since; none once it is set aside.
     pub deaths: Vec<LifeId>,
-    /// Those of them that ended while it was on trial.
-    pub trial_deaths: Vec<LifeId>,
+    /// Those of them that ended while it was on probation.
+    pub probation_deaths: Vec<LifeId>,
     /// Whether it is set aside.
     pub set_aside: bool,
     /// Whether the store holds that.
@@ -80,7 +80,7 @@
 pub(super) struct Record {
     pub epoch: u32,
     deaths: Vec<LifeId>,
-    trial_deaths: Vec<LifeId>,
+    probation_deaths: Vec<LifeId>,
     set_aside: bool,
     /// Since when the store is known to hold that it is set aside.
     pub stored_since: Option<Time>,
@@ -97,7 +97,7 @@
         if self.set_aside {
             Treatment::SetAside
         } else if self.deaths.len() >= SUSPECT_DEATHS {
-            Treatment::Trial
+            Treatment::Probation
         } else if self.deaths.is_empty() {
             Treatment::Usual
         } else {
@@ -109,8 +109,8 @@
         self.deaths.len()
     }
 
-    pub fn trial_deaths(&self) -> usize {
-        self.trial_deaths.len()
+    pub fn probation_deaths(&self) -> usize {
+        self.probation_deaths.len()
     }
 
     /// Whether something speaks against it.
@@ -119,10 +119,10 @@
     }
 
     /// A life ended under it. Returns whether that is news.
-    pub fn add_death(&mut self, life: LifeId, on_trial: bool, now: Time) -> bool {
+    pub fn add_death(&mut self, life: LifeId, on_probation: bool, now: Time) -> bool {
         let mut news = insert(&mut self.deaths, life);
-        if on_trial {
-            news |= insert(&mut self.trial_deaths, life);
+        if on_probation {
+            news |= insert(&mut self.probation_deaths, life);
         }
         if news {
             self.changed = now;
@@ -134,8 +134,8 @@
 
     /// Whether it is set aside now.
     fn judge(&mut self) {
-        let enough =
-            self.deaths.len() >= VERDICT_DEATHS && self.trial_deaths.len() >= VERDICT_TRIAL_DEATHS;
+        let enough = self.deaths.len() >= VERDICT_DEATHS
+            && self.probation_deaths.len() >= VERDICT_PROBATION_DEATHS;
         self.set_aside |= enough;
     }
 
@@ -173,8 +173,8 @@
         for life in news.deaths.iter().take(MOST_LIVES) {
             changed |= insert(&mut self.deaths, *life);
         }
-        for life in news.trial_deaths.iter().take(MOST_LIVES) {
-            changed |= insert(&mut self.trial_deaths, *life);
+        for life in news.probation_deaths.iter().take(MOST_LIVES) {
+            changed |= insert(&mut self.probation_deaths, *life);
         }
         changed |= news.set_aside && !self.set_aside;
         self.set_aside |= news.set_aside;
@@ -199,7 +199,7 @@
             digest,
             epoch: self.epoch,
             deaths: lives(&self.deaths),
-            trial_deaths: lives(&self.trial_deaths),
+            probation_deaths: lives(&self.probation_deaths),
             set_aside: self.set_aside,
             stored: self.stored_since.is_some(),
         }
@@ -209,7 +209,7 @@
     pub fn is_over(&self, now: Time) -> bool {
         let keep = match self.treatment() {
             Treatment::SetAside => return false,
-            Treatment::Trial => KEEP_SUSPECT,
+            Treatment::Probation => KEEP_SUSPECT,
             Treatment::Usual | Treatment::Watched => KEEP_WATCHED,
         };
         now.since(self.used) >= keep
--- a/crates/stacktack-core/tests/quarantine/main.rs
+++ b/crates/stacktack-core/tests/quarantine/main.rs
@@ -135,11 +135,11 @@
 }
 
 #[test]
-fn treatment_follows_deaths_and_trials() {
+fn treatment_follows_deaths_and_probations() {
     let mut quarantine = Quarantine::default();
     let request = digest(1);
     let mut seen = vec![quarantine.treatment(request, NOW)];
-    for (number, on_trial) in [
+    for (number, on_probation) in [
         (1, false),
         (1, false),
         (2, false),
@@ -147,16 +147,16 @@
         (4, true),
         (5, true),
     ] {
-        quarantine.on_death(request, life(number), on_trial, NOW);
+        quarantine.on_death(request, life(number), on_probation, NOW);
         seen.push(quarantine.treatment(request, NOW));
     }
     let expected = [
         Treatment::Usual,
         Treatment::Watched,
         Treatment::Watched,
-        Treatment::Trial,
-        Treatment::Trial,
-        Treatment::Trial,
+        Treatment::Probation,
+        Treatment::Probation,
+        Treatment::Probation,
         Treatment::SetAside,
     ];
     assert_eq!(seen, expected);
@@ -310,11 +310,15 @@
     let expected = [
         (
             3599,
-            [Treatment::SetAside, Treatment::Watched, Treatment::Trial],
+            [
+                Treatment::SetAside,
+                Treatment::Watched,
+                Treatment::Probation,
+            ],
         ),
         (
             3600,
-            [Treatment::SetAside, Treatment::Usual, Treatment::Trial],
+            [Treatment::SetAside, Treatment::Usual, Treatment::Probation],
         ),
         (
             24 * 3600,
@@ -336,7 +340,7 @@
     let run = |number, at| BrokenRun {
         digest: digest(number),
         id: number.to_string(),
-        on_trial: false,
+        on_probation: false,
         at,
     };
     runs.note(life(1), run(1, NOW));
--- a/crates/stacktack-core/tests/quarantine/world.rs
+++ b/crates/stacktack-core/tests/quarantine/world.rs
@@ -16,8 +16,8 @@
 use stacktack_core::direct::peers::peer_news::{OwnNews, PeerNews, ZoneHash};
 use stacktack_core::direct::peers::Peers;
 use stacktack_core::direct::quarantine::digest::{RequestDigest, RequestIdentity};
+use stacktack_core::direct::quarantine::probation::select_for_probation;
 use stacktack_core::direct::quarantine::record::{RecordNews, Treatment};
-use stacktack_core::direct::quarantine::trial::select_for_trial;
 use stacktack_core::direct::quarantine::Quarantine;
 use stacktack_core::time::Time;
 use xxhash_rust::xxh3::xxh3_64;
@@ -107,7 +107,7 @@
     back_end: usize,
     tries: u32,
     sends: u32,
-    on_trial: bool,
+    on_probation: bool,
 }
 
 pub struct World {
@@ -334,7 +334,7 @@
             back_end: 0,
             tries,
             sends: 0,
-            on_trial: false,
+            on_probation: false,
         };
         self.send(run);
     }
@@ -348,14 +348,14 @@
         } else {
             Treatment::Usual
         };
-        let trial = match treatment {
+        let probation = match treatment {
             Treatment::Usual | Treatment::SetAside => None,
-            _ => self.trial_back_end(digest),
+            _ => self.probation_back_end(digest),
         };
         let chosen = match treatment {
             Treatment::SetAside => None,
-            Treatment::Trial => trial,
-            _ => trial.or_else(|| self.any_back_end()),
+            Treatment::Probation => probation,
+            _ => probation.or_else(|| self.any_back_end()),
         };
         let Some(back_end) = chosen else {
             if treatment == Treatment::SetAside {
@@ -370,12 +370,12 @@
         }
         self.run_count += 1;
         let number = self.run_count;
-        let on_trial = trial.is_some();
+        let on_probation = probation.is_some();
         self.runs.insert(
             number,
             Run {
                 back_end,
-                on_trial,
+                on_probation,
                 sends: run.sends + 1,
                 ..run
             },
@@ -397,7 +397,7 @@
         (!up.is_empty()).then(|| up[self.random.random_range(0..up.len())])
     }
 
-    fn trial_back_end(&self, digest: RequestDigest) -> Option<usize> {
+    fn probation_back_end(&self, digest: RequestDigest) -> Option<usize> {
         let candidates: Vec<DirectCandidate> = self
             .back_ends
             .iter()
@@ -416,7 +416,7 @@
                 open: true,
             })
             .collect();
-        select_for_trial(&candidates, digest, |_| true).map(|chosen| chosen.index)
+        select_for_probation(&candidates, digest, |_| true).map(|chosen| chosen.index)
     }
 
     fn come_back(&mut self, run: Run) {
@@ -467,12 +467,12 @@
             .collect();
         for run in &broken {
             let quarantine = &mut self.routers[run.router].quarantine;
-            quarantine.on_death(digest(run.request), life, run.on_trial, now);
+            quarantine.on_death(digest(run.request), life, run.on_probation, now);
         }
         for run in broken {
             let quarantine = &mut self.routers[run.router].quarantine;
             let treatment = quarantine.treatment(digest(run.request), now);
-            let may_repeat = !self.plan.protected || treatment < Treatment::Trial;
+            let may_repeat = !self.plan.protected || treatment < Treatment::Probation;
             if run.sends < 2 && may_repeat {
                 self.send(run);
             } else {
--- a/crates/stacktack-direct/src/admission.rs
+++ b/crates/stacktack-direct/src/admission.rs
@@ -91,7 +91,7 @@
         return Err(refused(RefusalKind::SetAside));
     }
     let target = route.draw_target(rand::rng().next_u32());
-    if treatment < Treatment::Trial {
+    if treatment < Treatment::Probation {
         // A suspect gets no repeats and earns none.
         router.count_request(&route.targets[target].back_ends);
     }
--- a/crates/stacktack-direct/src/attempt.rs
+++ b/crates/stacktack-direct/src/attempt.rs
@@ -53,8 +53,8 @@
     load: f64,
     /// The life of the back end that it was sent to.
     pub(crate) life: LifeId,
-    /// Whether it runs on trial.
-    pub(crate) on_trial: bool,
+    /// Whether it runs on probation.
+    pub(crate) on_probation: bool,
     /// On the steady clock: what it tells of the back end's speed leaves suspensions of this
     /// machine out.
     written: Instant,
@@ -80,18 +80,18 @@
             pool: pool.to_owned(),
             load,
             life,
-            on_trial: false,
+            on_probation: false,
             connection: None,
             written: Instant::now(),
             rest_seconds: None,
         })
     }
 
-    /// Runs on trial: no other suspect goes to its back end meanwhile.
-    pub(crate) fn put_on_trial(&mut self) {
-        self.on_trial = true;
+    /// Runs on probation: no other suspect goes to its back end meanwhile.
+    pub(crate) fn put_on_probation(&mut self) {
+        self.on_probation = true;
         self.router
-            .trials
+            .probations
             .borrow_mut()
             .insert(self.back_end.clone());
     }
@@ -211,8 +211,8 @@
 impl Drop for Attempt {
     fn drop(&mut self) {
         let now = self.router.now();
-        if self.on_trial {
-            self.router.trials.borrow_mut().remove(&self.back_end);
+        if self.on_probation {
+            self.router.probations.borrow_mut().remove(&self.back_end);
         }
         self.with_back_end(|back_end| back_end.load.on_end(now));
     }
--- a/crates/stacktack-direct/src/back_end_end.rs
+++ b/crates/stacktack-direct/src/back_end_end.rs
@@ -59,7 +59,7 @@
         let run = BrokenRun {
             digest: self.digest(),
             id: self.id.clone(),
-            on_trial: attempt.on_trial,
+            on_probation: attempt.on_probation,
             at: self.router.now(),
         };
         let life = attempt.life;
@@ -130,7 +130,7 @@
         }
         for run in runs {
             let mut quarantine = self.quarantine.borrow_mut();
-            let change = quarantine.on_death(run.digest, life, run.on_trial, now);
+            let change = quarantine.on_death(run.digest, life, run.on_probation, now);
             drop(quarantine);
             self.note_treatment(change, "own");
         }
--- a/crates/stacktack-direct/src/choice.rs
+++ b/crates/stacktack-direct/src/choice.rs
@@ -37,8 +37,8 @@
 }
 
 impl Choice {
-    /// The choice of a trial: no load and no prompt part decided it.
-    pub(crate) fn for_trial(
+    /// The choice for a request on probation: no load and no prompt part decided it.
+    pub(crate) fn for_probation(
         candidate: &DirectCandidate,
         mean: f64,
         load_age: Option<Duration>,
--- a/crates/stacktack-direct/src/exchange.rs
+++ b/crates/stacktack-direct/src/exchange.rs
@@ -232,7 +232,7 @@
             // between zones of a region.
             look.await;
         }
-        if self.ledger.has_arrived() && self.treatment() >= Treatment::Trial {
+        if self.ledger.has_arrived() && self.treatment() >= Treatment::Probation {
             return false;
         }
         !self.ledger.has_arrived() || self.router.take_retry(&self.id, self.pool())
@@ -265,8 +265,8 @@
             RefusalKind::Lost
         } else if self.treatment() == Treatment::SetAside {
             RefusalKind::SetAside
-        } else if self.treatment() == Treatment::Trial {
-            RefusalKind::OnTrial
+        } else if self.treatment() == Treatment::Probation {
+            RefusalKind::OnProbation
         } else if self.come_back.is_some() {
             RefusalKind::Busy
         } else if self.ledger.sends > 0 {
--- a/crates/stacktack-direct/src/metrics.rs
+++ b/crates/stacktack-direct/src/metrics.rs
@@ -127,9 +127,9 @@
         self.ended.add(1, &[KeyValue::new("cause", cause)]);
     }
 
-    /// Records how many requests run on trial and how many are set aside.
-    pub fn record_quarantine(&self, on_trial: usize, set_aside: usize) {
-        let counts = [("trial", on_trial), ("set_aside", set_aside)];
+    /// Records how many requests run on probation and how many are set aside.
+    pub fn record_quarantine(&self, on_probation: usize, set_aside: usize) {
+        let counts = [("probation", on_probation), ("set_aside", set_aside)];
         for (treatment, count) in counts {
             let label = KeyValue::new("treatment", treatment);
             self.quarantine.record(count as u64, &[label]);
--- a/crates/stacktack-direct/src/ports.rs
+++ b/crates/stacktack-direct/src/ports.rs
@@ -106,7 +106,7 @@
     /// Back ends ended under it again and again; it goes to none any more.
     SetAside,
     /// Back ends ended under it, and none that may try it can do so now.
-    OnTrial,
+    OnProbation,
     /// Back ends refused it; it did not run.
     Rejected,
     /// It may have run and its answer is lost.
@@ -141,7 +141,7 @@
             RefusalKind::Drained => "drained",
             RefusalKind::Busy => "busy",
             RefusalKind::SetAside => "set_aside",
-            RefusalKind::OnTrial => "on_trial",
+            RefusalKind::OnProbation => "on_probation",
             RefusalKind::Rejected => "rejected",
             RefusalKind::Lost => "lost",
             RefusalKind::TimeOver => "time_over",
--- a/crates/stacktack-direct/src/quarantine.rs
+++ b/crates/stacktack-direct/src/quarantine.rs
@@ -4,8 +4,8 @@
 use hyper::http::request;
 use stacktack_core::direct::back_ends::directory::LifeId;
 use stacktack_core::direct::quarantine::digest::{RequestDigest, RequestIdentity};
+use stacktack_core::direct::quarantine::probation::select_for_probation;
 use stacktack_core::direct::quarantine::record::Treatment;
-use stacktack_core::direct::quarantine::trial::select_for_trial;
 use stacktack_core::direct::quarantine::TreatmentChange;
 use stacktack_core::direct::traffic::route::Tenant;
 
@@ -63,16 +63,16 @@
         log::log!(
             target: "quarantine",
             level,
-            "request={} treatment={} before={} deaths={} on_trial={} source={source}",
+            "request={} treatment={} before={} deaths={} on_probation={} source={source}",
             change.digest,
             change.now.word(),
             change.before.word(),
             change.deaths,
-            change.trial_deaths,
+            change.probation_deaths,
         );
         let quarantine = self.quarantine.borrow();
         self.metrics
-            .record_quarantine(quarantine.on_trial(), quarantine.set_aside());
+            .record_quarantine(quarantine.on_probation(), quarantine.set_aside());
         drop(quarantine);
         if change.now == Treatment::SetAside {
             self.verdicts.send_modify(|verdicts| *verdicts += 1);
@@ -114,22 +114,23 @@
         self.router.note_treatment(change, "good_run");
     }
 
-    /// The back end for a trial; `None` while none that may take it can.
-    pub(crate) fn select_for_trial(&self, treatment: Treatment) -> Option<Choice> {
+    /// The back end for a request on probation; `None` while none that may take it can.
+    pub(crate) fn select_for_probation(&self, treatment: Treatment) -> Option<Choice> {
         let router = &self.router;
         // With those that were tried: the digest names its back ends among all of the pool.
         let candidates = router.candidates(self.pool(), &[], self.risk(), None);
         let mean = candidates.mean_load();
         let most = WATCHED_LOAD_FACTOR * mean + WATCHED_LOAD_SLACK;
-        let chosen = select_for_trial(&candidates.list, self.digest(), |candidate| {
+        let chosen = select_for_probation(&candidates.list, self.digest(), |candidate| {
             let id = &candidates.ids[candidate.index];
-            self.is_free_for_trial(id) && (treatment == Treatment::Trial || candidate.load <= most)
+            self.is_free_for_probation(id)
+                && (treatment == Treatment::Probation || candidate.load <= most)
         })?;
-        Some(self.trial_choice(&candidates, chosen.index, mean))
+        Some(self.probation_choice(&candidates, chosen.index, mean))
     }
 
     /// Whether a back end was not tried yet, runs no other suspect and did not end just now.
-    fn is_free_for_trial(&self, back_end: &str) -> bool {
+    fn is_free_for_probation(&self, back_end: &str) -> bool {
         let router = &self.router;
         let back_ends = router.back_ends.borrow();
         let life = back_ends
@@ -137,12 +138,12 @@
             .map(|known| LifeId::of(&known.entry));
         let has_ended = life.is_some_and(|life| router.broken_runs.borrow().has_ended(life));
         let is_tried = self.tried.iter().any(|tried| tried == back_end);
-        !has_ended && !is_tried && !router.trials.borrow().contains(back_end)
+        !has_ended && !is_tried && !router.probations.borrow().contains(back_end)
     }
 
-    fn trial_choice(&self, candidates: &Candidates, index: usize, mean: f64) -> Choice {
+    fn probation_choice(&self, candidates: &Candidates, index: usize, mean: f64) -> Choice {
         let candidate = &candidates.list[index];
         let back_end = candidates.ids[index].clone();
-        Choice::for_trial(candidate, mean, self.router.load_age(&back_end), back_end)
+        Choice::for_probation(candidate, mean, self.router.load_age(&back_end), back_end)
     }
 }
--- a/crates/stacktack-direct/src/respond.rs
+++ b/crates/stacktack-direct/src/respond.rs
@@ -25,9 +25,9 @@
 /// drains last seconds at least, and callers shorten a time that is too long for them.
 const DRAINED_RETRY_AFTER: Duration = Duration::from_millis(2500);
 
-/// Time after which a suspect may come back whose trial nobody can take now: back ends that
+/// Time after which a suspect may come back whose probation nobody can take now: back ends that
 /// ended are back after 2 to 3 s, others that try it are done within one.
-const TRIAL_RETRY_AFTER: Duration = Duration::from_millis(1000);
+const PROBATION_RETRY_AFTER: Duration = Duration::from_millis(1000);
 
 /// Time in which a stopped router is back, as a rule.
 const RETURN_TIME: Duration = Duration::from_millis(900);
@@ -82,7 +82,7 @@
     exchange.outcome = Outcome::Refused(kind);
     let usual = match kind {
         RefusalKind::Drained => DRAINED_RETRY_AFTER,
-        RefusalKind::OnTrial => TRIAL_RETRY_AFTER,
+        RefusalKind::OnProbation => PROBATION_RETRY_AFTER,
         _ => RETRY_AFTER,
     };
     let come_back = exchange.come_back.unwrap_or(usual);
--- a/crates/stacktack-direct/src/router.rs
+++ b/crates/stacktack-direct/src/router.rs
@@ -91,8 +91,8 @@
     pub(crate) looks: RefCell<HashMap<LifeId, Look>>,
     /// Requests that end back ends.
     pub quarantine: RefCell<Quarantine>,
-    /// Back ends that run a request on trial.
-    pub(crate) trials: RefCell<HashSet<String>>,
+    /// Back ends that run a request on probation.
+    pub(crate) probations: RefCell<HashSet<String>>,
     /// Verdicts so far.
     pub(crate) verdicts: watch::Sender<u64>,
     /// Counters and histograms.
@@ -157,7 +157,7 @@
             broken_runs: RefCell::default(),
             looks: RefCell::default(),
             quarantine: RefCell::default(),
-            trials: RefCell::default(),
+            probations: RefCell::default(),
             verdicts: watch::Sender::new(0),
             metrics,
             phase: watch::Sender::new(Phase::Serving),
--- a/crates/stacktack-direct/src/sending.rs
+++ b/crates/stacktack-direct/src/sending.rs
@@ -40,16 +40,16 @@
         if treatment == Treatment::SetAside {
             return AttemptEnd::NoBackEnd;
         }
-        let trial = match treatment {
+        let probation = match treatment {
             Treatment::Usual => None,
-            _ => self.select_for_trial(treatment),
+            _ => self.select_for_probation(treatment),
         };
-        let on_trial = trial.is_some();
-        if treatment == Treatment::Trial && !on_trial {
+        let on_probation = probation.is_some();
+        if treatment == Treatment::Probation && !on_probation {
             return AttemptEnd::NoBackEnd;
         }
         let limit = (!under_way).then(|| self.slot_limit());
-        let Some(choice) = trial.or_else(|| self.select(limit)) else {
+        let Some(choice) = probation.or_else(|| self.select(limit)) else {
             return AttemptEnd::NoBackEnd;
         };
         if let Some(cause) = self.lacks_room(&choice, under_way) {
@@ -65,10 +65,10 @@
         let Some(mut attempt) = Attempt::begin(self.router.clone(), &back_end, pool, load) else {
             return AttemptEnd::Failure(AttemptFailure::Unreached, None);
         };
-        if on_trial {
-            attempt.put_on_trial();
+        if on_probation {
+            attempt.put_on_probation();
         }
-        self.note_choice(&choice, on_trial, fetch_from);
+        self.note_choice(&choice, on_probation, fetch_from);
         let end = self
             .exchange_head(&mut attempt, resume_after, fetch_from)
             .await;
@@ -86,13 +86,13 @@
         }
     }
 
-    fn note_choice(&self, choice: &Choice, on_trial: bool, fetch_from: Option<SocketAddr>) {
+    fn note_choice(&self, choice: &Choice, on_probation: bool, fetch_from: Option<SocketAddr>) {
         if let Some(age) = choice.load_age {
             self.router.metrics.record_load_age(age.as_secs_f64());
         }
         log::info!(
             target: "choice",
-            "id={} part={:x} tokens={} back_end={} trial={on_trial} load={:.1} load_age_ms={} mean={:.1} pool_fill={} rank={} standing={} fetch={} config={} directory={} peers={}",
+            "id={} part={:x} tokens={} back_end={} probation={on_probation} load={:.1} load_age_ms={} mean={:.1} pool_fill={} rank={} standing={} fetch={} config={} directory={} peers={}",
             self.id,
             self.caller.prompt.affinity_part().map_or(0, |part| part.id),
             self.caller.prompt.shared_tokens(),
--- a/crates/stacktack-direct/tests/datagrams.rs
+++ b/crates/stacktack-direct/tests/datagrams.rs
@@ -28,7 +28,7 @@
         }),
         epoch: 2,
         deaths: Vec::new(),
-        trial_deaths: Vec::new(),
+        probation_deaths: Vec::new(),
         set_aside: true,
         stored: false,
     }
