--- a/crates/stacktack-core/src/direct/quarantine/mod.rs
+++ b/crates/stacktack-core/src/direct/quarantine/mod.rs
@@ -29,7 +29,7 @@
 use crate::direct::quarantine::record::{Record, RecordNews, Treatment};
 use crate::time::Time;
 
-/// Records that are kept, 150 bytes each. An end makes one for each request that broke there.
+/// Records that are kept, some 150 bytes each by their layout. An end makes one for each request that broke there.
 const MOST_RECORDS: usize = 2048;
 
 /// Verdicts among them; who makes one has ended four back ends.
