Quarantine: results that nobody read are gone; its gauge is counted only where it can change

Second reading: whether a record changed was returned twice and dropped; each change of a watched request, dozens for an end, counted all records twice for figures that such a change cannot move.

--- a/crates/stacktack-core/src/direct/quarantine/mod.rs
+++ b/crates/stacktack-core/src/direct/quarantine/mod.rs
@@ -146,10 +146,7 @@
     }
 
     fn clear(&mut self, digest: RequestDigest, now: Time) -> Option<TreatmentChange> {
-        let change = self.change(digest, |record| {
-            record.clear(now);
-            true
-        })?;
+        let change = self.change(digest, |record| record.clear(now))?;
         if change.before == Treatment::SetAside {
             self.outdated.insert(digest);
         }
@@ -176,7 +173,7 @@
     fn change(
         &mut self,
         digest: RequestDigest,
-        act: impl FnOnce(&mut Record) -> bool,
+        act: impl FnOnce(&mut Record),
     ) -> Option<TreatmentChange> {
         let record = self.records.entry(digest).or_default();
         let before = record.treatment();
@@ -297,7 +294,6 @@
                     record.stored_since = record.stored_since.or(Some(now));
                     record.store_due = None;
                 }
-                true
             });
             if is_outdated {
                 self.outdated.insert(verdict.digest);
--- a/crates/stacktack-core/src/direct/quarantine/record.rs
+++ b/crates/stacktack-core/src/direct/quarantine/record.rs
@@ -126,8 +126,8 @@
         self.set_aside || !self.deaths.is_empty()
     }
 
-    /// A life ended under it. Returns whether that is news.
-    pub fn add_death(&mut self, life: LifeId, on_probation: bool, now: Time) -> bool {
+    /// A life ended under it.
+    pub fn add_death(&mut self, life: LifeId, on_probation: bool, now: Time) {
         let mut news = insert(&mut self.deaths, life);
         if on_probation {
             news |= insert(&mut self.probation_deaths, life);
@@ -137,7 +137,6 @@
             self.used = now;
             self.judge();
         }
-        news
     }
 
     /// Whether it is set aside now.
@@ -167,10 +166,10 @@
         };
     }
 
-    /// Takes what another router knows. Returns whether that changed anything.
-    pub fn merge(&mut self, news: &RecordNews, now: Time) -> bool {
+    /// Takes what another router knows.
+    pub fn merge(&mut self, news: &RecordNews, now: Time) {
         if news.epoch < self.epoch {
-            return false;
+            return;
         }
         let mut changed = news.epoch > self.epoch;
         if changed {
@@ -197,7 +196,6 @@
             self.changed = now;
             self.used = now;
         }
-        changed
     }
 
     pub fn news(&self, digest: RequestDigest) -> RecordNews {
--- a/crates/stacktack-direct/src/quarantine.rs
+++ b/crates/stacktack-direct/src/quarantine.rs
@@ -70,10 +70,11 @@
             change.deaths,
             change.probation_deaths,
         );
-        let quarantine = self.quarantine.borrow();
-        self.metrics
-            .record_quarantine(quarantine.on_probation(), quarantine.set_aside());
-        drop(quarantine);
+        if matters {
+            let quarantine = self.quarantine.borrow();
+            self.metrics
+                .record_quarantine(quarantine.on_probation(), quarantine.set_aside());
+        }
         if change.now == Treatment::SetAside {
             self.verdicts.send_modify(|verdicts| *verdicts += 1);
         }
