Sight: how old what a router knows of the directory is, at each choice, as a metric, and as a warning once it is older than the bound

No choice changes. The choice's line names a revision of the directory and not its age, so that a router that hears nothing and one that has nothing to hear looked alike for 23 s.

--- a/crates/stacktack-core/src/direct/sources/departure.rs
+++ b/crates/stacktack-core/src/direct/sources/departure.rs
@@ -138,6 +138,11 @@
         }
     }
 
+    /// Entries that are held.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
     /// Whether no entry is held.
     pub fn is_empty(&self) -> bool {
         self.0.is_empty()
--- a/crates/stacktack-core/src/direct/sources/mod.rs
+++ b/crates/stacktack-core/src/direct/sources/mod.rs
@@ -1,9 +1,11 @@
 //! Sources of beliefs: when to ask them, and what their silence says.
 //!
 //! - [`departure`]: when a back end that vanished from the directory is gone.
+//! - [`freshness`]: how new what is known of a source is.
 //! - [`patience`]: when a source that does not answer counts as silent.
 //! - [`store_pace`]: how often one of many routers asks the store for news.
 
 pub mod departure;
+pub mod freshness;
 pub mod patience;
 pub mod store_pace;
--- a/crates/stacktack-core/src/direct/sources/patience.rs
+++ b/crates/stacktack-core/src/direct/sources/patience.rs
@@ -36,6 +36,11 @@
         self.lateness = lateness.max(self.lateness.mul_f64(KEPT));
     }
 
+    /// How late answers come, at most.
+    pub fn lateness(&self) -> Duration {
+        self.lateness
+    }
+
     /// Lateness after which the source counts as silent.
     pub fn bound(&self, at_start: bool) -> Duration {
         let least = if at_start { LEAST_AT_START } else { LEAST };
--- a/crates/stacktack-direct/src/app.rs
+++ b/crates/stacktack-direct/src/app.rs
@@ -191,6 +191,7 @@
         router.broken_runs.borrow_mut().expire(now);
         router.quarantine.borrow_mut().expire(now);
         router.log_loads();
+        router.log_stale_directory();
     }
 }
 
--- a/crates/stacktack-direct/src/calls.rs
+++ b/crates/stacktack-direct/src/calls.rs
@@ -27,6 +27,8 @@
     pub after: Option<u64>,
     /// How far its answer came.
     pub transfer: Rc<Transfer>,
+    /// Time for which it might wait there for news.
+    pub waits: Duration,
     due: Instant,
 }
 
@@ -36,6 +38,17 @@
         let first = self.transfer.first_byte().unwrap_or_else(Instant::now);
         first.saturating_duration_since(self.due)
     }
+
+    /// How long ago the answer was made, at most: since the call was made, where it did not
+    /// wait there; else since the answer came, and as long as answers are late.
+    pub fn answer_age(&self, lateness: Duration) -> Duration {
+        let since_call = self.transfer.elapsed();
+        if self.waits.is_zero() {
+            return since_call;
+        }
+        let since_answer = self.transfer.arriving_for() + lateness;
+        since_call.min(since_answer)
+    }
 }
 
 /// What happens next to the calls.
@@ -99,6 +112,7 @@
             ended: EndedCall {
                 after,
                 transfer,
+                waits: wait,
                 due,
             },
             answer,
--- a/crates/stacktack-direct/src/followers/dependency.rs
+++ b/crates/stacktack-direct/src/followers/dependency.rs
@@ -35,6 +35,11 @@
         self.patience.get().bound(at_start)
     }
 
+    /// How late answers come, at most.
+    pub(super) fn lateness(&self) -> Duration {
+        self.patience.get().lateness()
+    }
+
     /// A call was answered so long after it was due.
     pub(super) fn on_lateness(&self, lateness: Duration) {
         let mut patience = self.patience.get();
--- a/crates/stacktack-direct/src/followers/directory.rs
+++ b/crates/stacktack-direct/src/followers/directory.rs
@@ -103,6 +103,8 @@
         self.router.store_lost.set(false);
         self.told = self.told.max(Some(news.revision));
         self.take_news(news, now);
+        self.router
+            .note_directory_age(call.answer_age(self.store.lateness()));
         let sharing = self.router.peers.borrow().settled() + 1;
         store_pace::gather(sharing, self.router.bounds().leave)
     }
--- a/crates/stacktack-direct/src/lib.rs
+++ b/crates/stacktack-direct/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod datagram;
 mod exchange;
 pub mod followers;
+mod freshness;
 mod held;
 pub mod knowledge;
 mod load_summary;
--- a/crates/stacktack-direct/src/metrics.rs
+++ b/crates/stacktack-direct/src/metrics.rs
@@ -18,6 +18,7 @@
     first_byte: Histogram<f64>,
     whole: Histogram<f64>,
     load_age: Histogram<f64>,
+    directory_age: Histogram<f64>,
     lag: Histogram<f64>,
 }
 
@@ -84,6 +85,10 @@
                 "stacktack_timer_lag",
                 "Lateness of the process's own timers",
             ),
+            directory_age: latency(
+                "stacktack_directory_age",
+                "Age of what is known of the directory at a choice",
+            ),
             load_age: latency(
                 "stacktack_load_age",
                 "Age of the load that decided a choice",
@@ -157,6 +162,11 @@
         self.load_age.record(seconds, &[]);
     }
 
+    /// Records the age of what is known of the directory at a choice.
+    pub fn record_directory_age(&self, seconds: f64) {
+        self.directory_age.record(seconds, &[]);
+    }
+
     /// Records the time to the head of an answer.
     pub fn record_first_byte(&self, seconds: f64) {
         self.first_byte.record(seconds, &[]);
--- a/crates/stacktack-direct/src/sending.rs
+++ b/crates/stacktack-direct/src/sending.rs
@@ -90,9 +90,12 @@
         if let Some(age) = choice.load_age {
             self.router.metrics.record_load_age(age.as_secs_f64());
         }
+        if let Some(age) = self.router.directory_age() {
+            self.router.metrics.record_directory_age(age.as_secs_f64());
+        }
         log::info!(
             target: "choice",
-            "id={} part={:x} tokens={} back_end={} probation={on_probation} load={:.1} load_age_ms={} mean={:.1} pool_fill={} rank={} standing={} fetch={} config={} directory={} peers={}",
+            "id={} part={:x} tokens={} back_end={} probation={on_probation} load={:.1} load_age_ms={} mean={:.1} pool_fill={} rank={} standing={} fetch={} config={} directory={} directory_age_ms={} peers={}",
             self.id,
             self.caller.prompt.affinity_part().map_or(0, |part| part.id),
             self.caller.prompt.shared_tokens(),
@@ -106,6 +109,7 @@
             fetch_from.map_or_else(|| "-".to_owned(), |holder| holder.to_string()),
             self.version,
             self.router.directory_changed.get(),
+            self.router.directory_age_text(),
             self.router.peers.borrow().alive(),
         );
     }
