What a router knows of directory and configuration has an age, within shares of the time in which news has to be acted upon

Cause: a read that waits for news was bounded by the number of routers (4 to 20 s) and not by the time in which a departure has to be known; nobody could tell a store with nothing to say from a connection that says nothing; all routers waited in step.

Now: (1) what is known has an age, renewed by own answers and by peers that know the same revision and say how lately that was all; past 0.6 of the bound the store is asked at once, beside whatever waits, and again on another connection after 0.2 of it; (2) waits are drawn, so that they never end in step; (3) a read that is late shows a dead connection, not a lost store: no departure is held for it; (4) a departure held here that a peer has decided is fetched from it; (5) the time for which this process itself stood still makes no answer late; (6) whether the back end still takes work is looked at again when the connection is there. The shares and their sum stand in one place.

The bound on calls of a lone router (16 in 60 s) gives way: it has nobody else to tell it, so it asks before what it knows is older than 0.6 of the bound, 40 in 60 s at most, and the age itself is asserted; 40 in 60 s beside peers that look. A truncated datagram: every length but the two at which earlier releases end is refused.

--- a/crates/stacktack-core/src/direct/back_ends/directory.rs
+++ b/crates/stacktack-core/src/direct/back_ends/directory.rs
@@ -95,6 +95,13 @@
     pub gone: Vec<Departure>,
 }
 
+impl DirectoryDelta {
+    /// Whether it tells nothing: no list, and no change.
+    pub fn is_empty(&self) -> bool {
+        !self.whole && self.present.is_empty() && self.gone.is_empty()
+    }
+}
+
 /// Label that names a back end's zone.
 pub const ZONE_LABEL: &str = "zone";
 
--- a/crates/stacktack-core/src/direct/peers/mod.rs
+++ b/crates/stacktack-core/src/direct/peers/mod.rs
@@ -9,6 +9,7 @@
 //! more fetches it from there. Nothing here has to arrive: a lost datagram only
 //! makes a belief a little older.
 
+pub mod knowledge_age;
 pub mod peer_news;
 
 use std::collections::{HashMap, VecDeque};
--- a/crates/stacktack-core/src/direct/request/attempt.rs
+++ b/crates/stacktack-core/src/direct/request/attempt.rs
@@ -11,6 +11,8 @@
 pub enum AttemptFailure {
     /// No connection came up, or nothing was written: certainly not run.
     Unreached,
+    /// The back end left after it was chosen and before anything was written: certainly not run.
+    Left,
     /// The address belongs to another instance now: certainly not run.
     OtherInstance,
     /// The back end refused and said that it did not run the request.
@@ -30,7 +32,10 @@
     pub fn proves_not_run(self) -> bool {
         matches!(
             self,
-            AttemptFailure::Unreached | AttemptFailure::OtherInstance | AttemptFailure::Rejected
+            AttemptFailure::Unreached
+                | AttemptFailure::Left
+                | AttemptFailure::OtherInstance
+                | AttemptFailure::Rejected
         )
     }
 
@@ -38,7 +43,7 @@
     pub fn counts_as_send(self) -> bool {
         !matches!(
             self,
-            AttemptFailure::Unreached | AttemptFailure::OtherInstance
+            AttemptFailure::Unreached | AttemptFailure::Left | AttemptFailure::OtherInstance
         )
     }
 
@@ -46,6 +51,7 @@
     pub fn word(self) -> &'static str {
         match self {
             AttemptFailure::Unreached => "unreached",
+            AttemptFailure::Left => "left",
             AttemptFailure::OtherInstance => "other_instance",
             AttemptFailure::Rejected => "rejected",
             AttemptFailure::Failed => "failed",
--- a/crates/stacktack-core/src/direct/sources/departure.rs
+++ b/crates/stacktack-core/src/direct/sources/departure.rs
@@ -114,20 +114,36 @@
     }
 }
 
+/// What speaks for an entry that vanished being gone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Evidence {
+    /// Nothing: it may only have been unable to renew itself.
+    None,
+    /// The store has answered steadily: whatever lives has renewed its entry.
+    Steady,
+    /// A peer has decided so.
+    Decided,
+}
+
 /// Entries that vanished and are not taken as gone yet: id to revision.
 #[derive(Clone, Debug, Default)]
 pub struct HeldDepartures(BTreeMap<String, u64>);
 
 impl HeldDepartures {
     /// Entries vanished. Returns those that are gone for good.
-    pub fn vanish(&mut self, departures: Vec<Departure>, steady: bool) -> Vec<Departure> {
+    pub fn vanish(&mut self, departures: Vec<Departure>, evidence: Evidence) -> Vec<Departure> {
+        if evidence == Evidence::Decided {
+            for departure in &departures {
+                self.0.remove(&departure.id);
+            }
+            return departures;
+        }
         for departure in departures {
             self.0.insert(departure.id, departure.revision);
         }
-        if steady {
-            self.release()
-        } else {
-            Vec::new()
+        match evidence {
+            Evidence::Steady => self.release(),
+            _ => Vec::new(),
         }
     }
 
--- a/crates/stacktack-core/src/direct/sources/store_pace.rs
+++ b/crates/stacktack-core/src/direct/sources/store_pace.rs
@@ -3,40 +3,39 @@
 //! What one router reads all others hear of from each other, within about a second
 //! and at a small price. So the more routers share the store, the less often each
 //! of them asks it; but never so seldom that it would miss a bound if it heard of
-//! nothing else.
+//! nothing else ([`super::news_budget`]).
 
 use std::time::Duration;
 
-/// Wait for news in one call, for each router that shares the store: a call
-/// without an answer is how a lost store is noticed, and whoever notices tells the
-/// others. At least and at most.
-const WAIT_PER_ROUTER: Duration = Duration::from_secs(1);
-const SHORTEST_WAIT: Duration = Duration::from_secs(4);
-const LONGEST_WAIT: Duration = Duration::from_secs(20);
+use super::news_budget::NewsBudget;
+
+/// Answers a second from the store to all routers while nothing changes: each shows all of
+/// them that nothing did.
+const ANSWERS_PER_SECOND: f64 = 5.0;
+
+/// Mean wait for news in one call, at least and at most. A store that lets calls wait
+/// does so for 30 s.
+const SHORTEST_WAIT: Duration = Duration::from_secs(2);
+const LONGEST_WAIT: Duration = Duration::from_secs(15);
 
 /// Time after news in which more is left to gather, for each router that shares the
 /// directory, and at least.
 const GATHER_PER_ROUTER: Duration = Duration::from_millis(100);
 const SHORTEST_GATHER: Duration = Duration::from_millis(500);
 
-/// Share of the time in which a leaving back end must get no new work that gathering may
-/// take at most: the rest is for the call, the choice and the way to the back end.
-const SHARE_OF_LEAVE_BOUND: f64 = 0.5;
-
-/// Wait for news in one call when so many routers share the store.
-pub fn wait(routers: usize) -> Duration {
-    per_router(WAIT_PER_ROUTER, routers).clamp(SHORTEST_WAIT, LONGEST_WAIT)
+/// Wait for news in one call when so many routers share the store; `draw` is even in 0..1.
+///
+/// The same news ends the waits of all routers, so that equal ones would end in step again:
+/// nobody would look while they last, and one silent moment would take all of them at once.
+pub fn wait(routers: usize, draw: f64) -> Duration {
+    let mean = Duration::from_secs_f64(routers as f64 / ANSWERS_PER_SECOND);
+    mean.clamp(SHORTEST_WAIT, LONGEST_WAIT).mul_f64(2.0 * draw)
 }
 
 /// Time after news in which more is left to gather when so many routers share the
-/// directory, and a leaving back end must get no new work after `leave_bound`.
-pub fn gather(routers: usize, leave_bound: Duration) -> Duration {
-    let longest = leave_bound
-        .mul_f64(SHARE_OF_LEAVE_BOUND)
-        .max(SHORTEST_GATHER);
-    per_router(GATHER_PER_ROUTER, routers).clamp(SHORTEST_GATHER, longest)
-}
-
-fn per_router(time: Duration, routers: usize) -> Duration {
-    time.saturating_mul(u32::try_from(routers).unwrap_or(u32::MAX))
+/// directory.
+pub fn gather(routers: usize, budget: &NewsBudget) -> Duration {
+    let routers = u32::try_from(routers).unwrap_or(u32::MAX);
+    let wanted = GATHER_PER_ROUTER.saturating_mul(routers);
+    wanted.max(SHORTEST_GATHER).min(budget.gather())
 }
--- a/crates/stacktack-core/tests/directory.rs
+++ b/crates/stacktack-core/tests/directory.rs
@@ -8,7 +8,7 @@
     BackEndEntry, Departure, DirectoryChange, DirectoryDelta, LifeId, VanishedLife,
 };
 use stacktack_core::direct::back_ends::BackEnds;
-use stacktack_core::direct::sources::departure::HeldDepartures;
+use stacktack_core::direct::sources::departure::{Evidence, HeldDepartures};
 use stacktack_core::time::Time;
 
 fn entry(id: &str, revision: u64) -> BackEndEntry {
@@ -115,7 +115,7 @@
     let mut held = HeldDepartures::default();
     assert_eq!(held.decided(20), 20);
     let departures = vec![departure("a", 15), departure("b", 18)];
-    assert!(held.vanish(departures, false).is_empty());
+    assert!(held.vanish(departures, Evidence::None).is_empty());
     assert_eq!(held.decided(20), 14);
     held.renew("a", 14);
     assert_eq!(held.decided(20), 14);
--- a/crates/stacktack-direct/src/calls.rs
+++ b/crates/stacktack-direct/src/calls.rs
@@ -20,6 +20,9 @@
 /// connection may be dead without a reset. Answers up to this late are still taken.
 const GIVE_UP: Duration = Duration::from_secs(10);
 
+/// Lateness of a timer from which this process stood still, and not its timers' resolution.
+const OWN_LATENESS: Duration = Duration::from_millis(50);
+
 /// A call that is over.
 #[derive(Debug)]
 pub struct EndedCall {
@@ -60,8 +63,13 @@
     Answered(T, EndedCall),
     /// A call failed.
     Failed(SourceError, EndedCall),
-    /// The newest call is later than answers may be; it goes on.
-    Late(Rc<Transfer>),
+    /// A call is later than answers may be; it goes on.
+    Late {
+        /// How far its answer has come.
+        transfer: Rc<Transfer>,
+        /// Time for which it might wait there for news.
+        waits: Duration,
+    },
     /// A late call was given up.
     GivenUp(EndedCall),
 }
@@ -126,6 +134,12 @@
         calls.any(|call| call.ended.transfer.bytes() > 0)
     }
 
+    /// Whether a call that is not late waits there for news.
+    pub fn is_any_waiting(&self) -> bool {
+        let mut calls = self.under_way.iter();
+        calls.any(|call| !call.late && !call.ended.waits.is_zero())
+    }
+
     /// Drops all calls: what they would tell is known.
     pub fn clear(&mut self) {
         self.under_way.clear();
@@ -142,11 +156,23 @@
             tokio::select! {
                 biased;
                 event = poll_fn(|context| self.poll_calls(context)) => return event,
-                () = sleep_until(deadline) => {}
+                () = sleep_until(deadline) => self.forgive(deadline.elapsed()),
             }
         }
     }
 
+    /// This process itself was late by so much: answers may wait to be read, and are not late
+    /// for it. Without this a store that answers all calls counted as lost after each time for which the process
+    /// stood still, and departures were held back for 2.2 s.
+    fn forgive(&mut self, own_lateness: Duration) {
+        if own_lateness < OWN_LATENESS {
+            return;
+        }
+        for call in &mut self.under_way {
+            call.ended.due += own_lateness;
+        }
+    }
+
     fn poll_calls(&mut self, context: &mut Context<'_>) -> Poll<CallEvent<T>> {
         for index in 0..self.under_way.len() {
             let Poll::Ready(result) = self.under_way[index].answer.poll_unpin(context) else {
@@ -167,11 +193,13 @@
             self.next = None;
             return Some(CallEvent::Due);
         }
-        let newest = self.under_way.last_mut();
-        if let Some(call) = newest.filter(|call| !call.late && call.quiet_since() + patience <= now)
-        {
+        let is_late = |call: &&mut Call<'_, T>| !call.late && call.quiet_since() + patience <= now;
+        if let Some(call) = self.under_way.iter_mut().find(is_late) {
             call.late = true;
-            return Some(CallEvent::Late(call.ended.transfer.clone()));
+            return Some(CallEvent::Late {
+                transfer: call.ended.transfer.clone(),
+                waits: call.ended.waits,
+            });
         }
         let dead = |call: &Call<'_, T>| call.quiet_since() + GIVE_UP <= now;
         let index = self.under_way.iter().position(dead)?;
@@ -180,8 +208,8 @@
 
     /// When something may be due next, if no call ends before.
     fn next_deadline(&self, patience: Duration) -> Instant {
-        let newest = self.under_way.last().filter(|call| !call.late);
-        let late = newest.map(|call| call.quiet_since() + patience);
+        let in_time = self.under_way.iter().filter(|call| !call.late);
+        let late = in_time.map(|call| call.quiet_since() + patience).min();
         let quiet = self.under_way.iter().map(Call::quiet_since).min();
         let dead = quiet.map(|quiet| quiet + GIVE_UP);
         let first = [self.next, late, dead].into_iter().flatten().min();
--- a/crates/stacktack-direct/src/candidates.rs
+++ b/crates/stacktack-direct/src/candidates.rs
@@ -3,12 +3,23 @@
 use stacktack_core::configuration::selector::{matches_all, Requirement};
 use stacktack_core::direct::admission::pool_load::{LoadReport, PoolLoad};
 use stacktack_core::direct::admission::SlotLimit;
+use stacktack_core::direct::back_ends::directory::LifeId;
 use stacktack_core::direct::back_ends::suspicion::RequestRisk;
 use stacktack_core::direct::choice::select::DirectCandidate;
 
 use crate::router::Router;
 
 impl Router {
+    /// Whether a life of a back end that was chosen takes new work still.
+    pub(crate) fn may_send(&self, back_end: &str, life: LifeId) -> bool {
+        let back_ends = self.back_ends.borrow();
+        let Some(known) = back_ends.get(back_end) else {
+            return false;
+        };
+        let drained = self.zone_drains.borrow().covers(&known.entry);
+        !known.entry.leaving && !drained && LifeId::of(&known.entry) == life
+    }
+
     /// Candidates of a pool for a request. Without a limit all have room.
     pub fn candidates(
         &self,
--- a/crates/stacktack-direct/src/datagram.rs
+++ b/crates/stacktack-direct/src/datagram.rs
@@ -1,6 +1,9 @@
-//! Datagrams between routers: news, then records of the quarantine. Routers that do not know the
-//! second part leave it unread, and it is absent in what they send.
+//! Datagrams between routers: news, then records of the quarantine, then how old what the sender
+//! knows is. Routers that do not know a later part leave it unread, and it is absent in what they
+//! send.
 
+use serde::Deserialize;
+use stacktack_core::direct::peers::knowledge_age::KnowledgeAges;
 use stacktack_core::direct::peers::peer_news::PeerNews;
 use stacktack_core::direct::peers::MAXIMUM_DATAGRAM;
 use stacktack_core::direct::quarantine::record::RecordNews;
@@ -12,15 +15,22 @@
     pub news: PeerNews,
     /// What it knows of requests that end back ends.
     pub records: Vec<RecordNews>,
+    /// How old what it knows is; nothing from a release that does not tell.
+    pub ages: KnowledgeAges,
 }
 
 /// Bytes of a datagram; with fewer records where it would be too large.
-pub fn encode(news: &PeerNews, records: &[RecordNews]) -> Result<Vec<u8>, postcard::Error> {
+pub fn encode(
+    news: &PeerNews,
+    records: &[RecordNews],
+    ages: &KnowledgeAges,
+) -> Result<Vec<u8>, postcard::Error> {
     let bytes = postcard::to_allocvec(news)?;
-    for count in (1..=records.len()).rev() {
+    let ages = postcard::to_allocvec(ages)?;
+    for count in (0..=records.len()).rev() {
         let more = postcard::to_allocvec(&records[..count])?;
-        if bytes.len() + more.len() <= MAXIMUM_DATAGRAM {
-            return Ok([bytes, more].concat());
+        if bytes.len() + more.len() + ages.len() <= MAXIMUM_DATAGRAM {
+            return Ok([bytes, more, ages].concat());
         }
     }
     Ok(bytes)
@@ -29,10 +39,21 @@
 /// Reads a datagram.
 pub fn decode(bytes: &[u8]) -> Result<Datagram, postcard::Error> {
     let (news, rest) = postcard::take_from_bytes::<PeerNews>(bytes)?;
-    let records = if rest.is_empty() {
-        Vec::new()
-    } else {
-        postcard::from_bytes(rest)?
-    };
-    Ok(Datagram { news, records })
+    let (records, rest) = later_part::<Vec<RecordNews>>(rest)?;
+    let (ages, _) = later_part::<KnowledgeAges>(rest)?;
+    Ok(Datagram {
+        news,
+        records,
+        ages,
+    })
+}
+
+/// A part that earlier releases do not send, and what is behind it.
+fn later_part<'a, T: Default + Deserialize<'a>>(
+    bytes: &'a [u8],
+) -> Result<(T, &'a [u8]), postcard::Error> {
+    if bytes.is_empty() {
+        return Ok((T::default(), bytes));
+    }
+    postcard::take_from_bytes(bytes)
 }
--- a/crates/stacktack-direct/src/followers/configuration.rs
+++ b/crates/stacktack-direct/src/followers/configuration.rs
@@ -4,10 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use stacktack_core::direct::sources::store_pace;
 use tokio::time::Instant;
 
 use super::dependency::Dependency;
+use super::looks::{wait_for_news, Looks};
 use super::pause::Pause;
 use crate::calls::{CallEvent, Calls, EndedCall};
 use crate::ports::{ConfigurationNews, ConfigurationSource, SourceError};
@@ -36,13 +36,22 @@
         silent_since: None,
         behind: false,
         drains_missed: false,
+        looks: Looks::default(),
         pause: Pause::new(),
     };
     let mut calls = Calls::new();
     loop {
         let patience = follower.patience();
+        let may_look = !store.is_lost() && !calls.is_any_arriving();
+        let budget = router.configuration_budget();
+        let age = || router.configuration_age();
+        let look = follower.looks.due(budget, store.lateness(), age);
         let event = tokio::select! {
             event = calls.event(patience) => event,
+            () = look, if may_look => {
+                follower.look(&mut calls);
+                continue;
+            }
             () = router.resumed() => {
                 follower.on_silence(Instant::now());
                 calls.next_after(Duration::ZERO);
@@ -61,11 +70,15 @@
         match event {
             CallEvent::Due => follower.ask(source.as_ref(), &mut calls),
             CallEvent::Answered(news, call) => {
-                calls.clear();
-                calls.next_after(follower.on_answer(news, &call));
+                let shows_nothing_new = call.waits.is_zero() && news.is_empty();
+                let pause = follower.on_answer(news, &call);
+                if !shows_nothing_new || !calls.is_any_waiting() {
+                    calls.clear();
+                    calls.next_after(pause);
+                }
             }
             CallEvent::Failed(error, call) => calls.next_after(follower.on_failure(error, &call)),
-            CallEvent::Late(transfer) => calls.next_after(follower.on_late(&transfer)),
+            CallEvent::Late { transfer, .. } => calls.next_after(follower.on_late(&transfer)),
             CallEvent::GivenUp(call) => report(&call, "given up"),
         }
     }
@@ -85,6 +98,7 @@
     behind: bool,
     /// Whether changes were passed over that may hold drains of zones.
     drains_missed: bool,
+    looks: Looks,
     pause: Pause,
 }
 
@@ -111,14 +125,26 @@
         self.told.filter(|_| !missed_many)
     }
 
-    /// Longest wait for news in one call.
-    fn longest_wait(&self) -> Duration {
-        store_pace::wait(self.router.peers.borrow().sharing())
+    /// Wait for news in one call.
+    fn wait(&self) -> Duration {
+        let age = self.router.configuration_age().unwrap_or_default();
+        wait_for_news(&self.router, &self.router.configuration_budget(), age)
+    }
+
+    /// Looks at the store beside the calls that are under way.
+    fn look(&mut self, calls: &mut Calls<'_, ConfigurationNews>) {
+        log::info!(
+            target: "configuration",
+            "look=true age_ms={} version={}",
+            self.router.configuration_age().unwrap_or_default().as_millis(),
+            self.router.version(),
+        );
+        self.looks.ask();
+        calls.next_after(Duration::ZERO);
     }
 
-    /// Makes a call. It waits for news only if the last one was answered: whether the
-    /// store answers at all has to show at once. And no longer than the directory's: a call
-    /// that is never answered, on a connection that stays up, shows by its end only.
+    /// Makes a call. It waits for news only if the last one was answered and it is no look:
+    /// whether the store answers at all has to show at once.
     fn ask<'a>(
         &mut self,
         source: &'a dyn ConfigurationSource,
@@ -126,10 +152,12 @@
     ) {
         let after = self.read_after();
         self.drains_missed |= after > self.told;
+        let is_look = self.looks.take();
         let wait = match after {
-            Some(_) if self.silent_since.is_none() => self.longest_wait(),
+            Some(_) if self.silent_since.is_none() && !is_look => self.wait(),
             _ => Duration::ZERO,
         };
+        self.looks.on_call(wait);
         let transfer = Transfer::begin();
         let answer = source.configuration(after, wait, transfer.clone());
         calls.begin(after, wait, transfer, answer);
@@ -160,6 +188,8 @@
         if let Some(configuration) = news.configuration {
             self.router.adopt(Arc::new(configuration));
         }
+        self.router
+            .note_configuration_age(call.answer_age(self.store.lateness()));
         Duration::ZERO
     }
 
--- a/crates/stacktack-direct/src/followers/directory.rs
+++ b/crates/stacktack-direct/src/followers/directory.rs
@@ -4,11 +4,13 @@
 use std::time::Duration;
 
 use stacktack_core::direct::back_ends::directory::{DirectoryChange, DirectoryDelta};
+use stacktack_core::direct::sources::departure::Evidence;
 use stacktack_core::direct::sources::store_pace;
 use stacktack_core::time::Time;
 use tokio::time::sleep;
 
 use super::dependency::Dependency;
+use super::looks::{wait_for_news, Looks};
 use super::pause::Pause;
 use crate::calls::{CallEvent, Calls, EndedCall};
 use crate::ports::{Directory, DirectoryNews, SourceError};
@@ -28,6 +30,7 @@
         router,
         store,
         told: None,
+        looks: Looks::default(),
         pause: Pause::new(),
     };
     let mut calls = Calls::new();
@@ -35,11 +38,19 @@
         match follower.event(&mut calls).await {
             CallEvent::Due => follower.ask(directory.as_ref(), &mut calls),
             CallEvent::Answered(news, call) => {
-                calls.clear();
-                calls.next_after(follower.on_answer(news, &call));
+                let shows_nothing_new = call.waits.is_zero() && news.delta.is_empty();
+                let pause = follower.on_answer(news, &call);
+                if !shows_nothing_new || !calls.is_any_waiting() {
+                    calls.clear();
+                    calls.next_after(pause);
+                }
             }
             CallEvent::Failed(error, _) => calls.next_after(follower.on_failure(error)),
-            CallEvent::Late(_) => calls.next_after(follower.on_failure(SourceError::Silent)),
+            CallEvent::Late { waits, .. } if !waits.is_zero() => {
+                // Its connection may be dead; whether the store answers, a new one shows.
+                follower.look("read_late", &mut calls);
+            }
+            CallEvent::Late { .. } => calls.next_after(follower.on_failure(SourceError::Silent)),
             CallEvent::GivenUp(call) => {
                 log::info!(target: "directory", "read=store ms={} end=\"given up\"", call.transfer.elapsed().as_millis());
             }
@@ -53,23 +64,38 @@
     store: Rc<Dependency>,
     /// Newest revision that the store told.
     told: Option<u64>,
+    looks: Looks,
     pause: Pause,
 }
 
 impl DirectoryFollower {
     /// Time to wait for news in one call. A store that was lost is asked
     /// without a wait, so that its return is noticed at once.
-    fn wait(&self) -> Duration {
-        if self.store.is_lost() {
+    fn wait(&mut self) -> Duration {
+        if self.looks.take() || self.store.is_lost() {
             return Duration::ZERO;
         }
-        store_pace::wait(self.router.peers.borrow().sharing())
+        let age = self.router.directory_age().unwrap_or_default();
+        wait_for_news(&self.router, &self.router.directory_budget(), age)
+    }
+
+    /// Looks at the store beside the calls that are under way.
+    fn look(&mut self, cause: &str, calls: &mut Calls<'_, DirectoryNews>) {
+        log::info!(
+            target: "directory",
+            "look=true cause={cause} age_ms={} revision={}",
+            self.router.directory_age_text(),
+            self.router.directory_changed.get(),
+        );
+        self.looks.ask();
+        calls.next_after(Duration::ZERO);
     }
 
     /// Makes a call.
-    fn ask<'a>(&self, directory: &'a dyn Directory, calls: &mut Calls<'a, DirectoryNews>) {
+    fn ask<'a>(&mut self, directory: &'a dyn Directory, calls: &mut Calls<'a, DirectoryNews>) {
         let wait = self.wait();
         let wait_there = self.told.map_or(Duration::ZERO, |_| wait);
+        self.looks.on_call(wait_there);
         let transfer = Transfer::begin();
         let answer = directory.back_ends(self.told, wait, transfer.clone());
         calls.begin(self.told, wait_there, transfer, answer);
@@ -77,11 +103,16 @@
 
     /// Awaits what happens next to the calls, and meanwhile takes as gone what was
     /// held long enough.
-    async fn event(&self, calls: &mut Calls<'_, DirectoryNews>) -> CallEvent<DirectoryNews> {
+    async fn event(&mut self, calls: &mut Calls<'_, DirectoryNews>) -> CallEvent<DirectoryNews> {
         let patience = self.store.patience(self.told.is_none());
+        let budget = self.router.directory_budget();
         loop {
+            let may_look = !self.store.is_lost() && !calls.is_any_arriving();
+            let age = || self.router.directory_age();
+            let look = self.looks.due(budget, self.store.lateness(), age);
             tokio::select! {
                 event = calls.event(patience) => return event,
+                () = look, if may_look => self.look("old", calls),
                 () = self.router.resumed() => {
                     // What was missing may only have been unable to renew itself, and the call
                     // under way may wait on a connection that is gone.
@@ -96,6 +127,7 @@
     /// An answer came. Returns when to ask again.
     fn on_answer(&mut self, news: DirectoryNews, call: &EndedCall) -> Duration {
         let now = self.router.now();
+        let nothing_new = news.delta.is_empty();
         self.pause.reset();
         self.store.on_lateness(call.lateness());
         self.store.on_answer(now);
@@ -105,8 +137,11 @@
         self.take_news(news, now);
         self.router
             .note_directory_age(call.answer_age(self.store.lateness()));
+        if nothing_new {
+            return Duration::ZERO;
+        }
         let sharing = self.router.peers.borrow().settled() + 1;
-        store_pace::gather(sharing, self.router.bounds().leave)
+        store_pace::gather(sharing, &self.router.directory_budget())
     }
 
     /// A call failed, or is late. Returns when to ask again.
@@ -147,13 +182,18 @@
         for id in &news.invalid {
             log::warn!(target: "directory", "back_end={id} taken=false cause=invalid_row");
         }
-        take_delta(&self.router, news.delta, news.revision, self.is_steady(now));
+        let evidence = if self.is_steady(now) {
+            Evidence::Steady
+        } else {
+            Evidence::None
+        };
+        take_delta(&self.router, news.delta, news.revision, evidence);
     }
 }
 
-/// Takes news of the directory, read as of a revision; while it is not `steady`,
+/// Takes news of the directory, read as of a revision; without evidence that they are gone,
 /// entries that vanished are held.
-pub fn take_delta(router: &Router, delta: DirectoryDelta, read_at: u64, steady: bool) {
+pub fn take_delta(router: &Router, delta: DirectoryDelta, read_at: u64, evidence: Evidence) {
     let now = router.now();
     let mut revision = delta.revision;
     let mut change = DirectoryChange::default();
@@ -175,7 +215,7 @@
         held.renew(&entry.id, entry.revision);
         back_ends.upsert(entry, now, &mut change);
     }
-    if !steady {
+    if evidence == Evidence::None {
         for departure in &gone {
             log::info!(
                 target: "directory",
@@ -185,7 +225,7 @@
             );
         }
     }
-    for departure in held.vanish(gone, steady) {
+    for departure in held.vanish(gone, evidence) {
         back_ends.remove(departure, &mut change);
     }
     drop(back_ends);
--- a/crates/stacktack-direct/src/followers/mod.rs
+++ b/crates/stacktack-direct/src/followers/mod.rs
@@ -9,6 +9,7 @@
 mod configuration;
 mod dependency;
 mod directory;
+mod looks;
 mod pause;
 mod peers;
 mod verdicts;
--- a/crates/stacktack-direct/src/followers/peers.rs
+++ b/crates/stacktack-direct/src/followers/peers.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use stacktack_core::direct::back_ends::directory::DirectoryDelta;
+use stacktack_core::direct::sources::departure::Evidence;
 use stacktack_core::time::Time;
 use tokio::time::sleep;
 
@@ -100,8 +101,8 @@
                 peers.with_newer_configuration(self.router.version(), self.failed)
             }
             Subject::Directory => {
-                let heard = self.router.directory_changed.get();
-                peers.with_newer_directory(heard, self.failed)
+                // Not what was heard: a departure that is held here may be decided there.
+                peers.with_newer_directory(self.router.directory_revision(), self.failed)
             }
         };
         self.behind.whom_to_ask(newer, self.patience(), now)
@@ -122,7 +123,7 @@
         let transfer = Transfer::begin();
         let known = match self.subject {
             Subject::Configuration => Known::Configuration(self.router.version()),
-            Subject::Directory => Known::Directory(self.router.directory_changed.get()),
+            Subject::Directory => Known::Directory(self.router.directory_revision()),
         };
         let call = self.source.knowledge(peer, known, transfer.clone());
         let answer = while_moving(call, &transfer, PEER_PATIENCE).await;
@@ -178,9 +179,9 @@
     }
 
     fn take_directory(&self, delta: DirectoryDelta) {
-        if delta.revision > self.router.directory_changed.get() {
+        if delta.revision > self.router.directory_revision() {
             let revision = delta.revision;
-            take_delta(&self.router, delta, revision, true);
+            take_delta(&self.router, delta, revision, Evidence::Decided);
         }
     }
 }
--- a/crates/stacktack-direct/src/news.rs
+++ b/crates/stacktack-direct/src/news.rs
@@ -31,6 +31,7 @@
         match decode(&buffer[..length]) {
             Ok(datagram) => {
                 take(&router, &datagram.news);
+                router.take_ages(&datagram.news, &datagram.ages);
                 take_records(&router, &datagram.records);
             }
             Err(error) => log::debug!(target: "peers", "a datagram does not parse: {error}"),
@@ -116,10 +117,11 @@
         suspects: router.back_ends.borrow().suspects(SUSPECTS_TOLD),
         zone_drains: router.zone_drains.borrow().told(),
     };
+    let ages = router.told_ages();
     let records = router.quarantine.borrow_mut().told(now);
     let outgoing = router.peers.borrow_mut().tick(&own, now);
     for datagram in outgoing {
-        let bytes = match encode(&datagram.news, &records) {
+        let bytes = match encode(&datagram.news, &records, &ages) {
             Ok(bytes) => bytes,
             Err(error) => {
                 log::error!(target: "peers", "a datagram cannot be written: {error}");
--- a/crates/stacktack-direct/src/ports.rs
+++ b/crates/stacktack-direct/src/ports.rs
@@ -191,6 +191,14 @@
     pub zone_drains: ZoneDrainNews,
 }
 
+impl ConfigurationNews {
+    /// Whether it tells nothing: no version, and nothing of zones.
+    pub fn is_empty(&self) -> bool {
+        let zones = &self.zone_drains;
+        self.versions == 0 && zones.changes.is_empty() && zones.whole_as_of.is_none()
+    }
+}
+
 /// News of the directory.
 #[derive(Debug, Default)]
 pub struct DirectoryNews {
--- a/crates/stacktack-direct/src/router.rs
+++ b/crates/stacktack-direct/src/router.rs
@@ -21,7 +21,6 @@
 use stacktack_core::direct::quarantine::Quarantine;
 use stacktack_core::direct::request::budget::SharedRetryBudget;
 use stacktack_core::direct::sources::departure::HeldDepartures;
-use stacktack_core::direct::sources::freshness::Freshness;
 use stacktack_core::direct::traffic::configuration_changes::ConfigurationHistory;
 use stacktack_core::direct::traffic::route::TrafficConfiguration;
 use stacktack_core::time::Time;
@@ -30,6 +29,7 @@
 use crate::back_end_end::Look;
 use crate::clock::{Clock, SuspensionDetector};
 use crate::connection::RestingConnections;
+use crate::freshness::KnownFreshness;
 use crate::load_summary::LoadSummary;
 use crate::metrics::DirectMetrics;
 use crate::ports::Protocol;
@@ -84,8 +84,8 @@
     pub peers: RefCell<Peers>,
     /// Newest change of the directory that was heard.
     pub directory_changed: Cell<u64>,
-    /// How new what is known of the directory is.
-    pub(crate) directory_freshness: Cell<Freshness>,
+    /// How new what is known of the sources is.
+    pub(crate) freshness: KnownFreshness,
     /// Back ends that vanished from the directory and may come back.
     pub held_departures: RefCell<HeldDepartures>,
     /// Runs that broke off, until it is known whether their back end ended.
@@ -156,7 +156,7 @@
             pools: RefCell::default(),
             peers: RefCell::new(peers),
             directory_changed: Cell::new(0),
-            directory_freshness: Cell::default(),
+            freshness: KnownFreshness::default(),
             held_departures: RefCell::default(),
             broken_runs: RefCell::default(),
             looks: RefCell::default(),
--- a/crates/stacktack-direct/src/sending.rs
+++ b/crates/stacktack-direct/src/sending.rs
@@ -75,10 +75,11 @@
         match end {
             Ok(response) => self.classify(response, attempt).await,
             Err(failure) => {
-                if failure == AttemptFailure::Broken {
-                    attempt.on_failure();
-                } else {
-                    attempt.on_unreachable();
+                match failure {
+                    AttemptFailure::Broken => attempt.on_failure(),
+                    // It says nothing of how it serves.
+                    AttemptFailure::Left => {}
+                    _ => attempt.on_unreachable(),
                 }
                 self.look = self.note_broken_run(&attempt, failure);
                 AttemptEnd::Failure(failure, None)
@@ -146,6 +147,11 @@
                     }
                 },
             };
+            // A connection takes up to 150 ms, and the router's other work as long again: news
+            // that came meanwhile counts.
+            if !self.router.may_send(&attempt.back_end, attempt.life) {
+                return Err(AttemptFailure::Left);
+            }
             let request = self.back_end_request(attempt, resume_after, fetch_from);
             self.in_doubt = true;
             attempt.on_write();
--- a/crates/stacktack-direct/src/settings.rs
+++ b/crates/stacktack-direct/src/settings.rs
@@ -50,6 +50,8 @@
     pub grace: Duration,
     /// Time after which a leaving back end must get no new work.
     pub leave: Duration,
+    /// Time after which a stored configuration must be in force.
+    pub configuration: Duration,
     /// The retry budget of the fleet.
     pub retries: BudgetBound,
     /// Load of a back end over the mean that is never exceeded on purpose.
--- a/crates/stacktack-direct/tests/common/mod.rs
+++ b/crates/stacktack-direct/tests/common/mod.rs
@@ -62,6 +62,7 @@
         bounds: Bounds {
             grace: Duration::from_secs(8),
             leave: Duration::from_secs(3),
+            configuration: Duration::from_secs(3),
             retries: BudgetBound {
                 ratio: 0.2,
                 extra: 56.0,
--- a/crates/stacktack-direct/tests/datagrams.rs
+++ b/crates/stacktack-direct/tests/datagrams.rs
@@ -4,7 +4,9 @@
 mod steady_peer;
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
+use stacktack_core::direct::peers::knowledge_age::{KnowledgeAges, ToldAge};
 use stacktack_core::direct::peers::peer_news::{PeerNews, ShortId};
 use stacktack_core::direct::peers::MAXIMUM_DATAGRAM;
 use stacktack_core::direct::quarantine::digest::{RequestDigest, RequestIdentity};
@@ -17,6 +19,13 @@
     steady_peer(SocketAddr::from(([127, 0, 0, 1], 10)), 3, 4)
 }
 
+fn ages() -> KnowledgeAges {
+    KnowledgeAges {
+        directory: ToldAge::new(Duration::from_millis(340)),
+        configuration: None,
+    }
+}
+
 fn record(number: u8) -> RecordNews {
     RecordNews {
         digest: RequestDigest::of(&RequestIdentity {
@@ -37,15 +46,16 @@
 #[test]
 fn what_is_written_is_read() {
     let records = [record(1), record(2)];
-    let bytes = encode(&news(), &records).expect("a datagram");
+    let bytes = encode(&news(), &records, &ages()).expect("a datagram");
     let datagram = decode(&bytes).expect("valid");
     assert_eq!(datagram.news, news());
     assert_eq!(datagram.records, records);
+    assert_eq!(datagram.ages, ages());
 }
 
 #[test]
 fn earlier_releases_read_the_news_and_leave_the_rest() {
-    let bytes = encode(&news(), &[record(1)]).expect("a datagram");
+    let bytes = encode(&news(), &[record(1)], &ages()).expect("a datagram");
     let read: PeerNews = postcard::from_bytes(&bytes).expect("valid there");
     assert_eq!(read, news());
 }
@@ -62,6 +72,32 @@
     assert_eq!(fixture.ok(), Some(news()));
     let datagram = decode(&bytes).expect("valid");
     assert!(datagram.records.is_empty());
+    assert_eq!(datagram.ages, KnowledgeAges::default());
+}
+
+/// A datagram as the release before wrote it: news and records, and nothing behind them.
+#[test]
+fn records_of_the_release_before_are_read_without_ages() {
+    let parts = [
+        postcard::to_allocvec(&news()).expect("bytes"),
+        postcard::to_allocvec(&vec![record(1)]).expect("bytes"),
+    ];
+    let datagram = decode(&parts.concat()).expect("valid");
+    assert_eq!(datagram.records, [record(1)]);
+    assert_eq!(datagram.ages, KnowledgeAges::default());
+}
+
+/// What the release before does with a datagram: it reads news, then records, and leaves the
+/// rest, also where there are no records.
+#[test]
+fn the_release_before_reads_records_and_leaves_the_ages() {
+    for records in [Vec::new(), vec![record(1)]] {
+        let bytes = encode(&news(), &records, &ages()).expect("a datagram");
+        let (read, rest) = postcard::take_from_bytes::<PeerNews>(&bytes).expect("valid there");
+        assert_eq!(read, news());
+        let read: Vec<RecordNews> = postcard::from_bytes(rest).expect("valid there");
+        assert_eq!(read, records);
+    }
 }
 
 #[test]
@@ -69,7 +105,7 @@
     let mut large = news();
     large.loads = vec![(ShortId([1, 2, 3]), u16::MAX); 215];
     let records: Vec<_> = (0..20).map(record).collect();
-    let bytes = encode(&large, &records).expect("a datagram");
+    let bytes = encode(&large, &records, &ages()).expect("a datagram");
     assert!(bytes.len() <= MAXIMUM_DATAGRAM);
     let read = decode(&bytes).expect("valid").records;
     assert!(
@@ -83,7 +119,12 @@
 fn what_is_no_datagram_is_refused() {
     assert!(decode(&[]).is_err());
     assert!(decode(&[9; 40]).is_err());
-    let mut bytes = encode(&news(), &[record(1)]).expect("a datagram");
-    bytes.truncate(bytes.len() - 3);
-    assert!(decode(&bytes).is_err());
+    let bytes = encode(&news(), &[record(1)], &ages()).expect("a datagram");
+    let of_news = postcard::to_allocvec(&news()).expect("bytes").len();
+    let of_ages = postcard::to_allocvec(&ages()).expect("bytes").len();
+    // What ends between two parts is what an earlier release sends.
+    let whole = [of_news, bytes.len() - of_ages];
+    for length in (0..bytes.len()).filter(|length| !whole.contains(length)) {
+        assert!(decode(&bytes[..length]).is_err(), "{length} bytes");
+    }
 }
--- a/crates/stacktack-direct/tests/followers/main.rs
+++ b/crates/stacktack-direct/tests/followers/main.rs
@@ -10,7 +10,9 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
+use stacktack_core::direct::peers::knowledge_age::{KnowledgeAges, ToldAge};
 use stacktack_direct::followers::{follow_directory, Dependency};
 use stacktack_direct::router::Router;
 
@@ -77,11 +79,40 @@
     .await;
 }
 
+/// Nobody else tells a lone router that nothing changed: it asks before what it knows is older
+/// than 0.6 of the time in which a departure has to be known (3 s), and hardly more often.
 #[tokio::test(start_paused = true)]
-async fn a_quiet_directory_is_asked_seldom() {
-    follow(|directory, _| async move {
-        after(60_000).await;
-        assert!(directory.calls.get() <= 16, "{}", directory.calls.get());
+async fn a_lone_router_asks_a_quiet_directory_as_often_as_the_bound_needs() {
+    follow(|directory, router| async move {
+        let mut oldest = Duration::ZERO;
+        for _ in 0..600 {
+            after(100).await;
+            oldest = oldest.max(router.directory_age().expect("an answer"));
+        }
+        assert!(oldest <= Duration::from_millis(1800), "{oldest:?}");
+        assert!(directory.calls.get() <= 40, "{}", directory.calls.get());
+    })
+    .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_quiet_directory_is_asked_seldom_while_peers_look() {
+    follow(|directory, router| async move {
+        for _ in 0..600 {
+            let now = router.now();
+            for number in 0..3 {
+                let from = SocketAddr::from(([127, 0, 1, number], 9));
+                let news = steady_peer(from, 0, router.directory_revision());
+                router.peers.borrow_mut().receive(&news, now);
+                let ages = KnowledgeAges {
+                    directory: ToldAge::new(Duration::from_millis(600)),
+                    configuration: None,
+                };
+                router.take_ages(&news, &ages);
+            }
+            after(100).await;
+        }
+        assert!(directory.calls.get() <= 40, "{}", directory.calls.get());
     })
     .await;
 }
