A process that stood still takes no answer for late

Now a timer that fired 50 ms late or more, or a look each 200 ms while an answer is late, shows that this process stood still, and answers are due anew. Each call counts as late by itself: looks made beside it no longer hide it.

--- /dev/null
+++ b/crates/stacktack-core/tests/news_budget.rs
@@ -0,0 +1,60 @@
+//! Shares of the time in which news has to be acted upon.
+
+use std::time::Duration;
+
+use stacktack_core::direct::sources::news_budget::NewsBudget;
+use stacktack_core::direct::sources::store_pace;
+
+fn ms(milliseconds: u64) -> Duration {
+    Duration::from_millis(milliseconds)
+}
+
+/// A read that died at the worst moment: a change comes right after the last answer, the first
+/// look is not answered, the second one is. A fifth of the bound is left to choose and to send.
+#[test]
+fn the_parts_fit_into_the_bound_whatever_it_is() {
+    for bound in [ms(500), ms(2000), ms(3000), ms(4000), ms(5000), ms(30_000)] {
+        let budget = NewsBudget::new(bound);
+        let known = budget.oldest() + budget.answer();
+        assert!(known <= bound.mul_f64(0.8), "{bound:?}: {known:?}");
+        for routers in [1, 4, 24, 103, 330] {
+            let gathered = store_pace::gather(routers, &budget);
+            assert!(gathered < budget.oldest(), "{bound:?}, {routers} routers");
+        }
+    }
+}
+
+#[test]
+fn a_look_is_due_once_what_is_known_is_too_old() {
+    let budget = NewsBudget::new(ms(2000));
+    let until = |age, since_look| budget.until_look(ms(age), since_look, Duration::ZERO);
+    assert_eq!(until(0, None), ms(1200));
+    assert_eq!(until(1000, Some(ms(50))), ms(350));
+    assert_eq!(until(1300, Some(ms(400))), Duration::ZERO);
+    // A second look, when the first is not answered.
+    assert_eq!(until(1300, Some(ms(100))), ms(300));
+}
+
+#[test]
+fn looks_at_a_slow_source_do_not_pile_up() {
+    let budget = NewsBudget::new(ms(2000));
+    let left = budget.until_look(ms(1500), Some(ms(500)), ms(1360));
+    assert_eq!(left, ms(2220));
+}
+
+#[test]
+fn a_lone_router_waits_no_longer_than_until_its_look() {
+    let budget = NewsBudget::new(ms(3000));
+    assert!(budget.wait_alone(Duration::ZERO) < budget.oldest());
+    assert_eq!(budget.wait_alone(ms(9000)), Duration::ZERO);
+}
+
+/// Equal waits that begin with the same news end in step.
+#[test]
+fn waits_are_spread_from_nothing_to_twice_their_mean() {
+    assert_eq!(store_pace::wait(103, 0.0), Duration::ZERO);
+    let shortest = store_pace::wait(103, 0.05);
+    let longest = store_pace::wait(103, 0.999);
+    assert!(longest > shortest * 10);
+    assert!(longest <= ms(30_000), "a store lets calls wait no longer");
+}
--- a/crates/stacktack-direct/src/calls.rs
+++ b/crates/stacktack-direct/src/calls.rs
@@ -20,9 +20,12 @@
 /// connection may be dead without a reset. Answers up to this late are still taken.
 const GIVE_UP: Duration = Duration::from_secs(10);
 
-/// Lateness of a timer from which this process stood still, and not its timers' resolution.
+/// Lateness of a timer from which this process stood still, beyond the resolution of timers.
 const OWN_LATENESS: Duration = Duration::from_millis(50);
 
+/// Time between looks at whether this process runs, while an answer is late.
+const OWN_LOOK: Duration = Duration::from_millis(200);
+
 /// A call that is over.
 #[derive(Debug)]
 pub struct EndedCall {
@@ -85,6 +88,13 @@
     fn quiet_since(&self) -> Instant {
         self.ended.due.max(self.ended.transfer.moved())
     }
+
+    /// When to look at it again: once it is late by `patience`, and now and then before.
+    fn next_look(&self, patience: Duration) -> Instant {
+        let quiet_since = self.quiet_since();
+        let next = quiet_since.max(Instant::now()) + OWN_LOOK;
+        next.min(quiet_since + patience)
+    }
 }
 
 /// Calls of one kind that are under way, the newest last.
@@ -149,8 +159,9 @@
     /// this is dropped before it ends.
     pub async fn event(&mut self, patience: Duration) -> CallEvent<T> {
         loop {
-            if let Some(event) = self.timed_event(patience) {
-                return event;
+            if self.next.is_some_and(|next| next <= Instant::now()) {
+                self.next = None;
+                return CallEvent::Due;
             }
             let deadline = self.next_deadline(patience);
             tokio::select! {
@@ -158,18 +169,22 @@
                 event = poll_fn(|context| self.poll_calls(context)) => return event,
                 () = sleep_until(deadline) => self.forgive(deadline.elapsed()),
             }
+            if let Some(event) = self.lateness_event(patience) {
+                return event;
+            }
         }
     }
 
-    /// This process itself was late by so much: answers may wait to be read, and are not late
-    /// for it. Without this a store that answers all calls counted as lost after each time for which the process
-    /// stood still, and departures were held back for 2.2 s.
+    /// This process itself was late by so much: answers may wait to be read, and are due from now
+    /// on. Without this a store that answered every call counted as lost whenever the process
+    /// stood still for longer than its patience, and departures were held back for 2.2 s.
     fn forgive(&mut self, own_lateness: Duration) {
         if own_lateness < OWN_LATENESS {
             return;
         }
+        let now = Instant::now();
         for call in &mut self.under_way {
-            call.ended.due += own_lateness;
+            call.ended.due = call.ended.due.max(now);
         }
     }
 
@@ -187,12 +202,8 @@
         Poll::Pending
     }
 
-    fn timed_event(&mut self, patience: Duration) -> Option<CallEvent<T>> {
+    fn lateness_event(&mut self, patience: Duration) -> Option<CallEvent<T>> {
         let now = Instant::now();
-        if self.next.is_some_and(|next| next <= now) {
-            self.next = None;
-            return Some(CallEvent::Due);
-        }
         let is_late = |call: &&mut Call<'_, T>| !call.late && call.quiet_since() + patience <= now;
         if let Some(call) = self.under_way.iter_mut().find(is_late) {
             call.late = true;
@@ -209,7 +220,7 @@
     /// When something may be due next, if no call ends before.
     fn next_deadline(&self, patience: Duration) -> Instant {
         let in_time = self.under_way.iter().filter(|call| !call.late);
-        let late = in_time.map(|call| call.quiet_since() + patience).min();
+        let late = in_time.map(|call| call.next_look(patience)).min();
         let quiet = self.under_way.iter().map(Call::quiet_since).min();
         let dead = quiet.map(|quiet| quiet + GIVE_UP);
         let first = [self.next, late, dead].into_iter().flatten().min();
