--- /dev/null
+++ b/crates/stacktack-core/tests/freshness.rs
@@ -0,0 +1,287 @@
+//! A fleet that watches one directory, on virtual time: how old what routers know gets, and how
+//! often they ask the store.
+
+mod event_queue;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use stacktack_core::direct::peers::knowledge_age::ToldAge;
+use stacktack_core::direct::peers::peer_news::{OwnNews, PeerNews, ZoneHash};
+use stacktack_core::direct::peers::Peers;
+use stacktack_core::direct::sources::freshness::Freshness;
+use stacktack_core::direct::sources::news_budget::NewsBudget;
+use stacktack_core::direct::sources::store_pace;
+use stacktack_core::time::Time;
+
+use event_queue::{random_time, EventQueue};
+
+/// Time between rounds of news.
+const INTERVAL: Duration = Duration::from_millis(100);
+
+/// Bytes of news that a router sends in a second, and what else a datagram carries.
+const BYTES_PER_SECOND: f64 = 1800.0;
+const OTHER_BYTES: usize = 250;
+
+/// Share of the datagrams that are lost, and their way.
+const LOSS: f64 = 0.03;
+const DELAY: Duration = Duration::from_millis(2);
+
+/// Time of the store for an answer.
+const ANSWER: Duration = Duration::from_millis(5);
+
+/// Time in which routers get to know each other.
+const WARM_UP: Duration = Duration::from_secs(30);
+
+const START: Time = Time(1_000_000);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Tick(usize),
+    Arrive {
+        to: usize,
+        datagram: u64,
+    },
+    /// The read that waits ends without news.
+    ReadEnds {
+        router: usize,
+        read: u64,
+    },
+    LookIsDue(usize),
+    LookAnswered(usize),
+}
+
+struct Router {
+    peers: Peers,
+    freshness: Freshness,
+    looked: Option<Time>,
+    /// Number of the read that waits; reads of other numbers are dead or dropped.
+    read: u64,
+}
+
+struct Fleet {
+    queue: EventQueue<Event>,
+    random: ChaCha8Rng,
+    routers: Vec<Router>,
+    budget: NewsBudget,
+    datagrams: HashMap<u64, (PeerNews, Option<ToldAge>)>,
+    sent: u64,
+    calls: usize,
+    oldest: Duration,
+}
+
+fn address(number: usize) -> SocketAddr {
+    let last = [(number / 250) as u8, (number % 250) as u8 + 1];
+    SocketAddr::from(([10, 0, last[0], last[1]], 7340))
+}
+
+impl Fleet {
+    fn new(count: usize, bound: Duration, seed: u64) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut queue = EventQueue::new(START);
+        let seeds: Vec<SocketAddr> = (0..count.min(3)).map(address).collect();
+        let mut routers = Vec::new();
+        for number in 0..count {
+            queue.schedule(random_time(&mut random, 0.05), Event::Tick(number));
+            queue.schedule(Duration::ZERO, Event::LookIsDue(number));
+            routers.push(Router {
+                peers: Peers::new(
+                    address(number),
+                    ZoneHash::of("zone"),
+                    random.random(),
+                    &seeds,
+                    BYTES_PER_SECOND,
+                    START,
+                ),
+                freshness: Freshness::default(),
+                looked: None,
+                read: 0,
+            });
+        }
+        let mut fleet = Fleet {
+            queue,
+            random,
+            routers,
+            budget: NewsBudget::new(bound),
+            datagrams: HashMap::new(),
+            sent: 0,
+            calls: 0,
+            oldest: Duration::ZERO,
+        };
+        fleet.run_for(WARM_UP);
+        fleet.calls = 0;
+        fleet.oldest = Duration::ZERO;
+        fleet
+    }
+
+    fn run_for(&mut self, span: Duration) {
+        let end = self.queue.now + span;
+        while self.queue.now < end {
+            match self.queue.next() {
+                Some(Event::Tick(number)) => self.tick(number),
+                Some(Event::Arrive { to, datagram }) => self.receive(to, datagram),
+                Some(Event::ReadEnds { router, read }) => self.end_read(router, read),
+                Some(Event::LookIsDue(number)) => self.look(number),
+                Some(Event::LookAnswered(number)) => self.on_answer(number, true),
+                None => return,
+            }
+        }
+    }
+
+    fn age(&self, number: usize) -> Option<Duration> {
+        self.routers[number].freshness.age(self.queue.now)
+    }
+
+    fn tick(&mut self, number: usize) {
+        self.queue.schedule(INTERVAL, Event::Tick(number));
+        let now = self.queue.now;
+        let age = self.age(number);
+        self.oldest = self.oldest.max(age.unwrap_or_default());
+        let own = OwnNews {
+            directory: 1,
+            settled: true,
+            serving: true,
+            ..OwnNews::default()
+        };
+        for outgoing in self.routers[number].peers.tick(&own, now) {
+            self.routers[number].peers.on_sent(OTHER_BYTES);
+            if self.random.random::<f64>() < LOSS {
+                continue;
+            }
+            let count = self.routers.len();
+            let to = (0..count).find(|to| address(*to) == outgoing.to);
+            self.sent += 1;
+            let datagram = self.sent;
+            let told = age.and_then(ToldAge::new);
+            self.datagrams.insert(datagram, (outgoing.news, told));
+            let to = to.expect("a router");
+            self.queue.schedule(DELAY, Event::Arrive { to, datagram });
+        }
+    }
+
+    fn receive(&mut self, to: usize, datagram: u64) {
+        let (news, told) = self.datagrams.remove(&datagram).expect("was sent");
+        let now = self.queue.now;
+        let router = &mut self.routers[to];
+        router.peers.receive(&news, now);
+        if let Some(told) = told {
+            router.freshness.note(now - told.age());
+        }
+    }
+
+    /// Looks if that is still needed, and looks again later.
+    fn look(&mut self, number: usize) {
+        let now = self.queue.now;
+        let since_look = self.routers[number].looked.map(|at| now.since(at));
+        let left = self.age(number).map_or(Duration::ZERO, |age| {
+            self.budget.until_look(age, since_look, Duration::ZERO)
+        });
+        if !left.is_zero() {
+            self.queue.schedule(left, Event::LookIsDue(number));
+            return;
+        }
+        self.calls += 1;
+        self.routers[number].looked = Some(now);
+        self.queue.schedule(ANSWER, Event::LookAnswered(number));
+        let again = self.budget.answer();
+        self.queue.schedule(again, Event::LookIsDue(number));
+    }
+
+    fn on_answer(&mut self, number: usize, by_look: bool) {
+        let now = self.queue.now;
+        let router = &mut self.routers[number];
+        router.freshness.note(now - ANSWER);
+        if !by_look || router.read == 0 {
+            self.begin_read(number);
+        }
+    }
+
+    fn begin_read(&mut self, number: usize) {
+        self.calls += 1;
+        let draw = self.random.random();
+        let router = &mut self.routers[number];
+        router.read += 1;
+        let wait = match router.peers.alive() {
+            0 => self.budget.wait_alone(Duration::ZERO),
+            _ => store_pace::wait(router.peers.sharing(), draw),
+        };
+        let read = router.read;
+        self.queue.schedule(
+            wait + ANSWER,
+            Event::ReadEnds {
+                router: number,
+                read,
+            },
+        );
+    }
+
+    fn end_read(&mut self, number: usize, read: u64) {
+        if self.routers[number].read == read {
+            self.on_answer(number, false);
+        }
+    }
+
+    /// No read that waits now is ever answered.
+    fn silence_reads(&mut self) {
+        for router in &mut self.routers {
+            router.read += 1;
+        }
+    }
+}
+
+/// Calls to the store for each router and second while nothing changes.
+fn calls_per_second(routers: usize, bound: Duration, seed: u64) -> f64 {
+    const SPAN: Duration = Duration::from_secs(30);
+    let mut fleet = Fleet::new(routers, bound, seed);
+    fleet.run_for(SPAN);
+    let most = fleet.budget.oldest() + INTERVAL;
+    assert!(
+        fleet.oldest <= most,
+        "{routers} routers, {bound:?}: {:?}",
+        fleet.oldest
+    );
+    fleet.calls as f64 / SPAN.as_secs_f64()
+}
+
+/// Nobody's knowledge gets older than its share of the bound. Routers that each asked for
+/// themselves would need one call in that time; the aim is no more than that for a few, a half of
+/// it for some, a quarter for many.
+#[test]
+fn what_routers_know_stays_new_at_a_small_price() {
+    for (routers, bound, share) in [
+        (1, 2000, 1.2),
+        (4, 2000, 1.0),
+        (24, 3000, 0.5),
+        (103, 4000, 0.25),
+        (330, 5000, 0.25),
+    ] {
+        let bound = Duration::from_millis(bound);
+        let calls = calls_per_second(routers, bound, 5);
+        let alone = routers as f64 / NewsBudget::new(bound).oldest().as_secs_f64();
+        println!("{routers} routers, {bound:?}: {calls:.1} calls a second, {alone:.1} alone");
+        assert!(calls <= share * alone, "{routers} routers, {bound:?}");
+    }
+}
+
+/// All reads die at once, and no peer knows more: everybody has looked within its share of the
+/// bound.
+#[test]
+fn a_fleet_whose_reads_are_all_dead_looks_in_time() {
+    for (routers, bound) in [(1, 2000), (4, 2000), (24, 3000), (103, 4000), (330, 5000)] {
+        let bound = Duration::from_millis(bound);
+        for seed in 0..if routers > 100 { 1 } else { 3 } {
+            let mut fleet = Fleet::new(routers, bound, seed);
+            fleet.silence_reads();
+            fleet.run_for(Duration::from_secs(20));
+            let most = fleet.budget.oldest() + INTERVAL;
+            assert!(
+                fleet.oldest <= most,
+                "{routers} routers, {bound:?}, seed {seed}: {:?}",
+                fleet.oldest
+            );
+        }
+    }
+}
--- a/crates/stacktack-direct/tests/followers/departures_in_time.rs
+++ b/crates/stacktack-direct/tests/followers/departures_in_time.rs
@@ -16,13 +16,17 @@
 //! a departure has to be known; and nobody could tell a store with nothing to say from a
 //! connection that says nothing.
 
+use std::cell::Cell;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use stacktack_direct::followers::{follow_directory, Dependency};
+use stacktack_direct::followers::{follow_directory, follow_peers, Dependency};
+use stacktack_direct::knowledge::{answer_peer, Knowledge, Known, PeerSource};
+use stacktack_direct::ports::{Directory, DirectoryNews, LocalBoxFuture, SourceError};
 use stacktack_direct::router::Router;
+use stacktack_direct::transfer::Transfer;
 use tokio::time::Instant;
 
 use crate::common::{after, router};
@@ -104,3 +108,89 @@
         }
     }
 }
+
+/// A directory that refuses one router while it is away from it.
+struct Away(Rc<ScriptedDirectory>, Rc<Cell<bool>>);
+
+impl Directory for Away {
+    fn back_ends(
+        &self,
+        after: Option<u64>,
+        wait: Duration,
+        transfer: Rc<Transfer>,
+    ) -> LocalBoxFuture<'_, Result<DirectoryNews, SourceError>> {
+        if self.1.get() {
+            return Box::pin(async { Err(SourceError::Refused(503)) });
+        }
+        let away = self.1.clone();
+        Box::pin(async move {
+            let answer = self.0.back_ends(after, wait, transfer).await;
+            if away.get() {
+                return Err(SourceError::Broken);
+            }
+            answer
+        })
+    }
+}
+
+/// A peer that the store answers steadily, and what it knows.
+struct DecidedPeer(Rc<Router>);
+
+impl PeerSource for DecidedPeer {
+    fn knowledge(
+        &self,
+        _: SocketAddr,
+        known: Known,
+        _: Rc<Transfer>,
+    ) -> LocalBoxFuture<'_, Result<Knowledge, SourceError>> {
+        let (_, body) = answer_peer(&self.0, &known.path_and_query());
+        Box::pin(async move { Knowledge::read(&body) })
+    }
+}
+
+/// The store was away for this router, so that it holds a departure back; a peer has decided it.
+/// The router had heard of the departure, and never asked the peer for it.
+#[tokio::test(start_paused = true)]
+async fn a_departure_that_is_held_is_taken_from_a_peer_that_has_decided_it() {
+    let directory = Rc::new(ScriptedDirectory::default());
+    for id in ["a", "b"] {
+        directory.set(id, true);
+    }
+    let (router, peer) = (router(), crate::common::router());
+    let store = Rc::new(Dependency::new("store").expect("chart"));
+    let peer_store = Rc::new(Dependency::new("store").expect("chart"));
+    let source = Rc::new(DecidedPeer(peer.clone()));
+    let away = Rc::new(Cell::new(false));
+    let script = async {
+        after(3000).await;
+        away.set(true);
+        after(1500).await;
+        directory.set("a", false);
+        after(600).await;
+        away.set(false);
+        // The peer tells what it has decided, and not that the store answers it steadily.
+        let known = async {
+            loop {
+                let from = SocketAddr::from(([127, 0, 1, 1], 9));
+                let mut news = steady_peer(from, 0, peer.directory_revision());
+                news.settled = false;
+                router.peers.borrow_mut().receive(&news, router.now());
+                after(50).await;
+                if !takes_work(&router, "a") {
+                    return;
+                }
+            }
+        };
+        let begun = Instant::now();
+        known.await;
+        let known = begun.elapsed();
+        assert!(known < Duration::from_millis(1500), "{known:?}");
+        assert!(takes_work(&router, "b"));
+    };
+    tokio::select! {
+        () = follow_directory(router.clone(), Rc::new(Away(directory.clone(), away.clone())), store.clone()) => {}
+        () = follow_directory(peer.clone(), directory.clone(), peer_store) => {}
+        () = follow_peers(router.clone(), store, source) => {}
+        () = script => {}
+    }
+}
