--- a/crates/stacktack-direct/src/calls.rs
+++ b/crates/stacktack-direct/src/calls.rs
@@ -144,17 +144,22 @@
         calls.any(|call| call.ended.transfer.bytes() > 0)
     }
 
+    /// An answer was taken. What the calls under way would tell is known, and the next one is due
+    /// after a pause; but a look that `told_nothing` new leaves the read that waits alone.
+    pub fn after_answer(&mut self, answered: &EndedCall, told_nothing: bool, pause: Duration) {
+        if answered.waits.is_zero() && told_nothing && self.is_any_waiting() {
+            return;
+        }
+        self.under_way.clear();
+        self.next_after(pause);
+    }
+
     /// Whether a call that is not late waits there for news.
-    pub fn is_any_waiting(&self) -> bool {
+    fn is_any_waiting(&self) -> bool {
         let mut calls = self.under_way.iter();
         calls.any(|call| !call.late && !call.ended.waits.is_zero())
     }
 
-    /// Drops all calls: what they would tell is known.
-    pub fn clear(&mut self) {
-        self.under_way.clear();
-    }
-
     /// What happens next, when answers may be late by `patience`. Nothing is lost when
     /// this is dropped before it ends.
     pub async fn event(&mut self, patience: Duration) -> CallEvent<T> {
--- a/crates/stacktack-direct/src/candidates.rs
+++ b/crates/stacktack-direct/src/candidates.rs
@@ -11,7 +11,7 @@
 
 impl Router {
     /// Whether a life of a back end that was chosen takes new work still.
-    pub(crate) fn may_send(&self, back_end: &str, life: LifeId) -> bool {
+    pub fn may_send(&self, back_end: &str, life: LifeId) -> bool {
         let back_ends = self.back_ends.borrow();
         let Some(known) = back_ends.get(back_end) else {
             return false;
--- a/crates/stacktack-direct/src/followers/configuration.rs
+++ b/crates/stacktack-direct/src/followers/configuration.rs
@@ -70,12 +70,9 @@
         match event {
             CallEvent::Due => follower.ask(source.as_ref(), &mut calls),
             CallEvent::Answered(news, call) => {
-                let shows_nothing_new = call.waits.is_zero() && news.is_empty();
+                let told_nothing = news.is_empty();
                 let pause = follower.on_answer(news, &call);
-                if !shows_nothing_new || !calls.is_any_waiting() {
-                    calls.clear();
-                    calls.next_after(pause);
-                }
+                calls.after_answer(&call, told_nothing, pause);
             }
             CallEvent::Failed(error, call) => calls.next_after(follower.on_failure(error, &call)),
             CallEvent::Late { transfer, .. } => calls.next_after(follower.on_late(&transfer)),
--- a/crates/stacktack-direct/src/followers/directory.rs
+++ b/crates/stacktack-direct/src/followers/directory.rs
@@ -38,12 +38,9 @@
         match follower.event(&mut calls).await {
             CallEvent::Due => follower.ask(directory.as_ref(), &mut calls),
             CallEvent::Answered(news, call) => {
-                let shows_nothing_new = call.waits.is_zero() && news.delta.is_empty();
+                let told_nothing = news.delta.is_empty();
                 let pause = follower.on_answer(news, &call);
-                if !shows_nothing_new || !calls.is_any_waiting() {
-                    calls.clear();
-                    calls.next_after(pause);
-                }
+                calls.after_answer(&call, told_nothing, pause);
             }
             CallEvent::Failed(error, _) => calls.next_after(follower.on_failure(error)),
             CallEvent::Late { waits, .. } if !waits.is_zero() => {
