--- a/crates/stacktack-core/src/direct/sources/departure.rs
+++ b/crates/stacktack-core/src/direct/sources/departure.rs
@@ -117,8 +117,8 @@
 /// What speaks for an entry that vanished being gone.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Evidence {
-    /// Nothing: it may only have been unable to renew itself.
-    None,
+    /// Too little: it may only have been unable to renew itself.
+    Insufficient,
     /// The store has answered steadily: whatever lives has renewed its entry.
     Steady,
     /// A peer has decided so.
@@ -141,9 +141,10 @@
         for departure in departures {
             self.0.insert(departure.id, departure.revision);
         }
-        match evidence {
-            Evidence::Steady => self.release(),
-            _ => Vec::new(),
+        if evidence == Evidence::Steady {
+            self.release()
+        } else {
+            Vec::new()
         }
     }
 
--- a/crates/stacktack-core/tests/directory.rs
+++ b/crates/stacktack-core/tests/directory.rs
@@ -115,7 +115,7 @@
     let mut held = HeldDepartures::default();
     assert_eq!(held.decided(20), 20);
     let departures = vec![departure("a", 15), departure("b", 18)];
-    assert!(held.vanish(departures, Evidence::None).is_empty());
+    assert!(held.vanish(departures, Evidence::Insufficient).is_empty());
     assert_eq!(held.decided(20), 14);
     held.renew("a", 14);
     assert_eq!(held.decided(20), 14);
--- a/crates/stacktack-direct/src/calls.rs
+++ b/crates/stacktack-direct/src/calls.rs
@@ -81,6 +81,8 @@
     ended: EndedCall,
     answer: LocalBoxFuture<'a, Result<T, SourceError>>,
     late: bool,
+    /// Whether it got time for what may wait to be read.
+    was_spared: bool,
 }
 
 impl<T> Call<'_, T> {
@@ -135,6 +137,7 @@
             },
             answer,
             late: false,
+            was_spared: false,
         });
     }
 
@@ -172,7 +175,7 @@
             tokio::select! {
                 biased;
                 event = poll_fn(|context| self.poll_calls(context)) => return event,
-                () = sleep_until(deadline) => self.forgive(deadline.elapsed()),
+                () = sleep_until(deadline) => self.forgive(deadline.elapsed(), patience),
             }
             if let Some(event) = self.lateness_event(patience) {
                 return event;
@@ -180,16 +183,24 @@
         }
     }
 
-    /// This process itself was late by so much: answers may wait to be read, and are due from now
-    /// on. Without this a store that answered every call counted as lost whenever the process
+    /// This process itself was late by so much: that is no lateness of answers, which may wait to
+    /// be read. Without this a store that answered every call counted as lost whenever the process
     /// stood still for longer than its patience, and departures were held back for 2.2 s.
-    fn forgive(&mut self, own_lateness: Duration) {
+    fn forgive(&mut self, own_lateness: Duration, patience: Duration) {
         if own_lateness < OWN_LATENESS {
             return;
         }
         let now = Instant::now();
         for call in &mut self.under_way {
-            call.ended.due = call.ended.due.max(now);
+            let overdue = now.saturating_duration_since(call.ended.due);
+            call.ended.due += own_lateness.min(overdue);
+            if !call.was_spared && call.quiet_since() + patience < now + OWN_LOOK {
+                // Once for each call: where timers are late all the time, a store that
+                // answers nobody still shows.
+                call.was_spared = true;
+                let spared = (now + OWN_LOOK).checked_sub(patience);
+                call.ended.due = spared.unwrap_or(now);
+            }
         }
     }
 
--- a/crates/stacktack-direct/src/followers/directory.rs
+++ b/crates/stacktack-direct/src/followers/directory.rs
@@ -17,6 +17,10 @@
 use crate::router::Router;
 use crate::transfer::Transfer;
 
+/// Pause after an answer that told nothing new: a store that lets no call wait is not asked
+/// without end.
+const NOTHING_NEW_PAUSE: Duration = Duration::from_millis(50);
+
 /// Time between looks at whether entries that vanished are gone.
 const HELD_LOOK: Duration = Duration::from_millis(250);
 
@@ -135,7 +139,7 @@
         self.router
             .note_directory_age(call.answer_age(self.store.lateness()));
         if nothing_new {
-            return Duration::ZERO;
+            return NOTHING_NEW_PAUSE;
         }
         let sharing = self.router.peers.borrow().settled() + 1;
         store_pace::gather(sharing, &self.router.directory_budget())
@@ -182,7 +186,7 @@
         let evidence = if self.is_steady(now) {
             Evidence::Steady
         } else {
-            Evidence::None
+            Evidence::Insufficient
         };
         take_delta(&self.router, news.delta, news.revision, evidence);
     }
@@ -212,7 +216,7 @@
         held.renew(&entry.id, entry.revision);
         back_ends.upsert(entry, now, &mut change);
     }
-    if evidence == Evidence::None {
+    if evidence == Evidence::Insufficient {
         for departure in &gone {
             log::info!(
                 target: "directory",
--- a/crates/stacktack-direct/tests/calls.rs
+++ b/crates/stacktack-direct/tests/calls.rs
@@ -99,3 +99,29 @@
     assert!(matches!(late, CallEvent::Late { .. }));
     assert!(begun.elapsed() <= PATIENCE, "{:?}", begun.elapsed());
 }
+
+/// Where all timers are late, a store that answers nobody still shows, a little later.
+#[tokio::test(start_paused = true)]
+async fn late_timers_do_not_hide_a_store_that_answers_nobody() {
+    let mut calls = calls();
+    assert!(matches!(calls.event(PATIENCE).await, CallEvent::Due));
+    let begun = Instant::now();
+    calls.begin(
+        Some(1),
+        Duration::ZERO,
+        Transfer::begin(),
+        Box::pin(pending()),
+    );
+    let late_timers = async {
+        loop {
+            sleep(ms(130)).await;
+            advance(ms(70)).await;
+        }
+    };
+    let event = tokio::select! {
+        event = calls.event(PATIENCE) => event,
+        () = late_timers => unreachable!("goes on"),
+    };
+    assert!(matches!(event, CallEvent::Late { .. }));
+    assert!(begun.elapsed() <= PATIENCE * 3, "{:?}", begun.elapsed());
+}
