A look that is asked for is not asked for again before it is made

Seen in the log of a router: the same look told three times in one moment, since the time of the last look was noted with the call and not with the wish for it. The calls were right.

--- a/crates/stacktack-direct/src/followers/looks.rs
+++ b/crates/stacktack-direct/src/followers/looks.rs
@@ -23,7 +23,7 @@
 /// read waits there.
 #[derive(Debug, Default)]
 pub(super) struct Looks {
-    /// When the last call was made that did not wait for news.
+    /// When the last call was made, or asked for, that did not wait for news.
     last: Option<Instant>,
     /// Whether the next call is a look: it does not wait for news.
     due: bool,
@@ -51,9 +51,10 @@
         }
     }
 
-    /// The next call is a look.
+    /// The next call is a look; it is due now, and no other one beside it.
     pub(super) fn ask(&mut self) {
         self.due = true;
+        self.last = Some(Instant::now());
     }
 
     /// Whether the call to make now is a look.
