--- a/crates/stacktack-core/tests/freshness.rs
+++ b/crates/stacktack-core/tests/freshness.rs
@@ -2,15 +2,14 @@
 //! often they ask the store.
 
 mod event_queue;
+mod gossip;
 
-use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use stacktack_core::direct::peers::knowledge_age::ToldAge;
-use stacktack_core::direct::peers::peer_news::{OwnNews, PeerNews, ZoneHash};
+use stacktack_core::direct::peers::peer_news::OwnNews;
 use stacktack_core::direct::peers::Peers;
 use stacktack_core::direct::sources::freshness::Freshness;
 use stacktack_core::direct::sources::news_budget::NewsBudget;
@@ -18,23 +17,16 @@
 use stacktack_core::time::Time;
 
 use event_queue::{random_time, EventQueue};
-
-/// Time between rounds of news.
-const INTERVAL: Duration = Duration::from_millis(100);
-
-/// Bytes of news that a router sends in a second, and what else a datagram carries.
-const BYTES_PER_SECOND: f64 = 1800.0;
-const OTHER_BYTES: usize = 250;
-
-/// Share of the datagrams that are lost, and their way.
-const LOSS: f64 = 0.03;
-const DELAY: Duration = Duration::from_millis(2);
+use gossip::{peers, Network, DELAY, INTERVAL};
 
 /// Time of the store for an answer.
 const ANSWER: Duration = Duration::from_millis(5);
 
-/// Time in which routers get to know each other.
-const WARM_UP: Duration = Duration::from_secs(30);
+/// Time after which routers that started at once know each other: until then each takes the fleet for
+/// smaller, and asks more often.
+fn warm_up(routers: usize) -> Duration {
+    Duration::from_secs(if routers > 200 { 60 } else { 30 })
+}
 
 const START: Time = Time(1_000_000);
 
@@ -67,35 +59,21 @@
     random: ChaCha8Rng,
     routers: Vec<Router>,
     budget: NewsBudget,
-    datagrams: HashMap<u64, (PeerNews, Option<ToldAge>)>,
-    sent: u64,
+    network: Network<Option<ToldAge>>,
     calls: usize,
     oldest: Duration,
 }
 
-fn address(number: usize) -> SocketAddr {
-    let last = [(number / 250) as u8, (number % 250) as u8 + 1];
-    SocketAddr::from(([10, 0, last[0], last[1]], 7340))
-}
-
 impl Fleet {
     fn new(count: usize, bound: Duration, seed: u64) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let mut queue = EventQueue::new(START);
-        let seeds: Vec<SocketAddr> = (0..count.min(3)).map(address).collect();
         let mut routers = Vec::new();
         for number in 0..count {
             queue.schedule(random_time(&mut random, 0.05), Event::Tick(number));
             queue.schedule(Duration::ZERO, Event::LookIsDue(number));
             routers.push(Router {
-                peers: Peers::new(
-                    address(number),
-                    ZoneHash::of("zone"),
-                    random.random(),
-                    &seeds,
-                    BYTES_PER_SECOND,
-                    START,
-                ),
+                peers: peers(number, count, &mut random, START),
                 freshness: Freshness::default(),
                 looked: None,
                 read: 0,
@@ -106,12 +84,11 @@
             random,
             routers,
             budget: NewsBudget::new(bound),
-            datagrams: HashMap::new(),
-            sent: 0,
+            network: Network::new(count),
             calls: 0,
             oldest: Duration::ZERO,
         };
-        fleet.run_for(WARM_UP);
+        fleet.run_for(warm_up(count));
         fleet.calls = 0;
         fleet.oldest = Duration::ZERO;
         fleet
@@ -146,24 +123,18 @@
             serving: true,
             ..OwnNews::default()
         };
-        for outgoing in self.routers[number].peers.tick(&own, now) {
-            self.routers[number].peers.on_sent(OTHER_BYTES);
-            if self.random.random::<f64>() < LOSS {
-                continue;
+        let told = age.and_then(ToldAge::new);
+        let peers = &mut self.routers[number].peers;
+        for outgoing in peers.tick(&own, now) {
+            let sent = self.network.send(peers, &outgoing, told, &mut self.random);
+            if let Some((to, datagram)) = sent {
+                self.queue.schedule(DELAY, Event::Arrive { to, datagram });
             }
-            let count = self.routers.len();
-            let to = (0..count).find(|to| address(*to) == outgoing.to);
-            self.sent += 1;
-            let datagram = self.sent;
-            let told = age.and_then(ToldAge::new);
-            self.datagrams.insert(datagram, (outgoing.news, told));
-            let to = to.expect("a router");
-            self.queue.schedule(DELAY, Event::Arrive { to, datagram });
         }
     }
 
     fn receive(&mut self, to: usize, datagram: u64) {
-        let (news, told) = self.datagrams.remove(&datagram).expect("was sent");
+        let (news, told) = self.network.arrive(datagram);
         let now = self.queue.now;
         let router = &mut self.routers[to];
         router.peers.receive(&news, now);
--- a/crates/stacktack-core/tests/zone_drains.rs
+++ b/crates/stacktack-core/tests/zone_drains.rs
@@ -3,19 +3,19 @@
 
 #[path = "event_queue/mod.rs"]
 mod event_queue;
+mod gossip;
 
-use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use stacktack_core::direct::back_ends::zone_drain::{ZoneDrain, ZoneDrainNews, ZoneDrains};
-use stacktack_core::direct::peers::peer_news::{OwnNews, PeerNews, ZoneHash};
+use stacktack_core::direct::peers::peer_news::OwnNews;
 use stacktack_core::direct::peers::Peers;
 use stacktack_core::time::Time;
 
 use event_queue::{random_time, EventQueue};
+use gossip::{peers, Network, DELAY, INTERVAL};
 
 fn drain(zone: &str, drained: bool, revision: u64) -> ZoneDrain {
     ZoneDrain {
@@ -89,15 +89,6 @@
     assert!(drains.told().len() <= 16);
 }
 
-/// Time between rounds of news.
-const INTERVAL: Duration = Duration::from_millis(100);
-
-/// Share of the datagrams that are lost.
-const LOSS: f64 = 0.03;
-
-/// One way between two routers.
-const DELAY: Duration = Duration::from_millis(2);
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Tick(usize),
@@ -114,30 +105,20 @@
     queue: EventQueue<Event>,
     routers: Vec<Router>,
     random: ChaCha8Rng,
-    /// Datagrams under way, by number.
-    datagrams: HashMap<u64, PeerNews>,
-    sent: u64,
-}
-
-fn address(number: usize) -> SocketAddr {
-    SocketAddr::from((
-        [10, 0, (number / 250) as u8, (number % 250) as u8 + 1],
-        7340,
-    ))
+    network: Network<()>,
 }
 
 impl Fleet {
     fn new(count: usize) -> Self {
         let start = Time(1_000_000);
         let mut random = ChaCha8Rng::seed_from_u64(11);
-        let seeds: Vec<SocketAddr> = (0..count.min(3)).map(address).collect();
         let mut queue = EventQueue::new(start);
         let routers = (0..count)
             .map(|number| {
                 let first = random_time(&mut random, 0.05);
                 queue.schedule(first, Event::Tick(number));
                 Router {
-                    peers: peers(number, &seeds, &mut random, start),
+                    peers: peers(number, count, &mut random, start),
                     drains: ZoneDrains::default(),
                     paused: false,
                 }
@@ -147,8 +128,7 @@
             queue,
             routers,
             random,
-            datagrams: HashMap::new(),
-            sent: 0,
+            network: Network::new(count),
         }
     }
 
@@ -166,7 +146,6 @@
     fn tick(&mut self, number: usize) {
         self.queue.schedule(INTERVAL, Event::Tick(number));
         let now = self.queue.now;
-        let count = self.routers.len();
         let router = &mut self.routers[number];
         if router.paused {
             return;
@@ -182,24 +161,16 @@
             zone_drains: router.drains.told(),
         };
         for outgoing in router.peers.tick(&own, now) {
-            let bytes = postcard::to_allocvec(&outgoing.news).expect("serializes");
-            // What else a datagram carries in a busy fleet.
-            router.peers.on_sent(bytes.len() + 250);
-            if self.random.random::<f64>() < LOSS {
-                continue;
+            let peers = &mut router.peers;
+            let sent = self.network.send(peers, &outgoing, (), &mut self.random);
+            if let Some((to, datagram)) = sent {
+                self.queue.schedule(DELAY, Event::Arrive { to, datagram });
             }
-            let news: PeerNews = postcard::from_bytes(&bytes).expect("parses");
-            let to = (0..count).find(|to| address(*to) == outgoing.to);
-            let to = to.expect("a router");
-            self.sent += 1;
-            let datagram = self.sent;
-            self.datagrams.insert(datagram, news);
-            self.queue.schedule(DELAY, Event::Arrive { to, datagram });
         }
     }
 
     fn receive(&mut self, number: usize, datagram: u64) {
-        let news = self.datagrams.remove(&datagram).expect("under way");
+        let (news, ()) = self.network.arrive(datagram);
         let now = self.queue.now;
         let router = &mut self.routers[number];
         if router.paused {
@@ -233,17 +204,6 @@
     }
 }
 
-fn peers(number: usize, seeds: &[SocketAddr], random: &mut ChaCha8Rng, now: Time) -> Peers {
-    Peers::new(
-        address(number),
-        ZoneHash::of("a"),
-        random.random(),
-        seeds,
-        1800.0,
-        now,
-    )
-}
-
 /// Time after a start of all routers at once in which they come to know each other.
 fn settled_after(routers: usize) -> Duration {
     Duration::from_secs(if routers > 200 { 60 } else { 12 })
@@ -279,10 +239,9 @@
         fleet.routers[0].paused = true;
         fleet.routers[1].drains.take(&drain("b", true, 10));
         fleet.until_all("b", true, BOUND);
-        let seeds: Vec<SocketAddr> = (0..3).map(address).collect();
         let started = count - 1;
         let now = fleet.queue.now;
-        fleet.routers[started].peers = peers(started, &seeds, &mut fleet.random, now);
+        fleet.routers[started].peers = peers(started, count, &mut fleet.random, now);
         fleet.routers[started].drains = ZoneDrains::default();
         fleet.routers[0].paused = false;
         fleet.until_all("b", true, Duration::from_secs(2));
