--- a/crates/stacktack-direct/tests/followers/departures_in_time.rs
+++ b/crates/stacktack-direct/tests/followers/departures_in_time.rs
@@ -18,7 +18,7 @@
 
 use std::cell::Cell;
 use std::future::Future;
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -194,3 +194,65 @@
         () = script => {}
     }
 }
+
+/// One peer whose connections say nothing, and one that answers.
+struct OneSilentPeer(Rc<Router>);
+
+/// The peer that says nothing.
+const SILENT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, 0, 1, 1)), 9);
+
+impl PeerSource for OneSilentPeer {
+    fn knowledge(
+        &self,
+        peer: SocketAddr,
+        known: Known,
+        _: Rc<Transfer>,
+    ) -> LocalBoxFuture<'_, Result<Knowledge, SourceError>> {
+        if peer == SILENT {
+            return Box::pin(std::future::pending());
+        }
+        let (_, body) = answer_peer(&self.0, &known.path_and_query());
+        Box::pin(async move { Knowledge::read(&body) })
+    }
+}
+
+/// The store turns this router away, and the connection to the peer that is asked first says
+/// nothing: the departure is taken from another one in time.
+#[tokio::test(start_paused = true)]
+async fn a_departure_is_known_in_time_although_a_peer_says_nothing() {
+    let directory = Rc::new(ScriptedDirectory::default());
+    for id in ["a", "b"] {
+        directory.set(id, true);
+    }
+    let (router, peer) = (router(), crate::common::router());
+    let store = Rc::new(Dependency::new("store").expect("chart"));
+    let peer_store = Rc::new(Dependency::new("store").expect("chart"));
+    let source = Rc::new(OneSilentPeer(peer.clone()));
+    let away = Rc::new(Cell::new(false));
+    let script = async {
+        after(3000).await;
+        away.set(true);
+        after(3000).await;
+        directory.set_leaving("a");
+        let both_tell = async {
+            loop {
+                for from in [SILENT, SocketAddr::from(([127, 0, 1, 2], 9))] {
+                    let news = steady_peer(from, 0, peer.directory_revision());
+                    router.peers.borrow_mut().receive(&news, router.now());
+                }
+                after(100).await;
+            }
+        };
+        let known = tokio::select! {
+            known = known_after(&router, "a") => known,
+            () = both_tell => unreachable!("goes on"),
+        };
+        assert!(known < router.bounds().leave, "{known:?}");
+    };
+    tokio::select! {
+        () = follow_directory(router.clone(), Rc::new(Away(directory.clone(), away.clone())), store.clone()) => {}
+        () = follow_directory(peer.clone(), directory.clone(), peer_store) => {}
+        () = follow_peers(router.clone(), store, source) => {}
+        () = script => {}
+    }
+}
