--- a/crates/stacktack-direct/tests/followers/departures_in_time.rs
+++ b/crates/stacktack-direct/tests/followers/departures_in_time.rs
@@ -148,51 +148,83 @@
     }
 }
 
-/// The store was away for this router, so that it holds a departure back; a peer has decided it.
-/// The router had heard of the departure, and never asked the peer for it.
-#[tokio::test(start_paused = true)]
-async fn a_departure_that_is_held_is_taken_from_a_peer_that_has_decided_it() {
-    let directory = Rc::new(ScriptedDirectory::default());
+/// A router that the store may turn away, beside a peer that it answers.
+struct Pair {
+    directory: Rc<ScriptedDirectory>,
+    away: Rc<Cell<bool>>,
+    router: Rc<Router>,
+    peer: Rc<Router>,
+}
+
+/// Runs a script beside a router that the store may turn away, and that asks peers.
+async fn follow_beside_peer<F: Future<Output = ()>, S: PeerSource + 'static>(
+    source: impl FnOnce(Rc<Router>) -> S,
+    script: impl FnOnce(Rc<Pair>) -> F,
+) {
+    let pair = Rc::new(Pair {
+        directory: Rc::new(ScriptedDirectory::default()),
+        away: Rc::default(),
+        router: router(),
+        peer: router(),
+    });
     for id in ["a", "b"] {
-        directory.set(id, true);
+        pair.directory.set(id, true);
     }
-    let (router, peer) = (router(), crate::common::router());
-    let store = Rc::new(Dependency::new("store").expect("chart"));
-    let peer_store = Rc::new(Dependency::new("store").expect("chart"));
-    let source = Rc::new(DecidedPeer(peer.clone()));
-    let away = Rc::new(Cell::new(false));
-    let script = async {
+    let store = || Rc::new(Dependency::new("store").expect("chart"));
+    let (own_store, peer_store) = (store(), store());
+    let source = Rc::new(source(pair.peer.clone()));
+    let directory = Rc::new(Away(pair.directory.clone(), pair.away.clone()));
+    tokio::select! {
+        () = follow_directory(pair.router.clone(), directory, own_store.clone()) => {}
+        () = follow_directory(pair.peer.clone(), pair.directory.clone(), peer_store) => {}
+        () = follow_peers(pair.router.clone(), own_store, source) => {}
+        () = script(pair.clone()) => {}
+    }
+}
+
+impl Pair {
+    /// Peers tell for ever what the one that the store answers has decided.
+    async fn told_by(&self, peers: &[SocketAddr], settled: bool) {
+        loop {
+            for from in peers {
+                let mut news = steady_peer(*from, 0, self.peer.directory_revision());
+                news.settled = settled;
+                let now = self.router.now();
+                self.router.peers.borrow_mut().receive(&news, now);
+            }
+            after(50).await;
+        }
+    }
+
+    /// Time until back end `a` gets no work any more, beside what peers tell.
+    async fn known_after(&self, peers: &[SocketAddr], settled: bool) -> Duration {
+        tokio::select! {
+            known = known_after(&self.router, "a") => known,
+            () = self.told_by(peers, settled) => unreachable!("goes on"),
+        }
+    }
+}
+
+/// The peer that answers.
+const ANSWERING: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, 0, 1, 2)), 9);
+
+/// The store was away for this router, so that it holds a departure back; a peer has decided it,
+/// and does not tell that the store answers it steadily. The router had heard of the departure, and
+/// never asked the peer for it.
+#[tokio::test(start_paused = true)]
+async fn a_departure_that_is_held_is_taken_from_a_peer_that_has_decided_it() {
+    follow_beside_peer(DecidedPeer, |pair| async move {
         after(3000).await;
-        away.set(true);
+        pair.away.set(true);
         after(1500).await;
-        directory.set("a", false);
+        pair.directory.set("a", false);
         after(600).await;
-        away.set(false);
-        // The peer tells what it has decided, and not that the store answers it steadily.
-        let known = async {
-            loop {
-                let from = SocketAddr::from(([127, 0, 1, 1], 9));
-                let mut news = steady_peer(from, 0, peer.directory_revision());
-                news.settled = false;
-                router.peers.borrow_mut().receive(&news, router.now());
-                after(50).await;
-                if !takes_work(&router, "a") {
-                    return;
-                }
-            }
-        };
-        let begun = Instant::now();
-        known.await;
-        let known = begun.elapsed();
+        pair.away.set(false);
+        let known = pair.known_after(&[ANSWERING], false).await;
         assert!(known < Duration::from_millis(1500), "{known:?}");
-        assert!(takes_work(&router, "b"));
-    };
-    tokio::select! {
-        () = follow_directory(router.clone(), Rc::new(Away(directory.clone(), away.clone())), store.clone()) => {}
-        () = follow_directory(peer.clone(), directory.clone(), peer_store) => {}
-        () = follow_peers(router.clone(), store, source) => {}
-        () = script => {}
-    }
+        assert!(takes_work(&pair.router, "b"));
+    })
+    .await;
 }
 
 /// One peer whose connections say nothing, and one that answers.
@@ -220,39 +252,13 @@
 /// nothing: the departure is taken from another one in time.
 #[tokio::test(start_paused = true)]
 async fn a_departure_is_known_in_time_although_a_peer_says_nothing() {
-    let directory = Rc::new(ScriptedDirectory::default());
-    for id in ["a", "b"] {
-        directory.set(id, true);
-    }
-    let (router, peer) = (router(), crate::common::router());
-    let store = Rc::new(Dependency::new("store").expect("chart"));
-    let peer_store = Rc::new(Dependency::new("store").expect("chart"));
-    let source = Rc::new(OneSilentPeer(peer.clone()));
-    let away = Rc::new(Cell::new(false));
-    let script = async {
+    follow_beside_peer(OneSilentPeer, |pair| async move {
         after(3000).await;
-        away.set(true);
+        pair.away.set(true);
         after(3000).await;
-        directory.set_leaving("a");
-        let both_tell = async {
-            loop {
-                for from in [SILENT, SocketAddr::from(([127, 0, 1, 2], 9))] {
-                    let news = steady_peer(from, 0, peer.directory_revision());
-                    router.peers.borrow_mut().receive(&news, router.now());
-                }
-                after(100).await;
-            }
-        };
-        let known = tokio::select! {
-            known = known_after(&router, "a") => known,
-            () = both_tell => unreachable!("goes on"),
-        };
-        assert!(known < router.bounds().leave, "{known:?}");
-    };
-    tokio::select! {
-        () = follow_directory(router.clone(), Rc::new(Away(directory.clone(), away.clone())), store.clone()) => {}
-        () = follow_directory(peer.clone(), directory.clone(), peer_store) => {}
-        () = follow_peers(router.clone(), store, source) => {}
-        () = script => {}
-    }
+        pair.directory.set_leaving("a");
+        let known = pair.known_after(&[SILENT, ANSWERING], true).await;
+        assert!(known < pair.router.bounds().leave, "{known:?}");
+    })
+    .await;
 }
