--- a/crates/stacktack-core/src/direct/sources/news_budget.rs
+++ b/crates/stacktack-core/src/direct/sources/news_budget.rs
@@ -1,10 +1,10 @@
 //! How the time between a change at a source and the last decision that does not know it is
 //! shared out.
 //!
-//! Each part followed from something else once: the wait of a read from the number of routers, the
-//! time for which news is gathered from the bound alone. Every part looked small, and a departure
-//! was known after 23 s where 4 s are allowed (103 routers, all reads silent since one second
-//! without a store). So all parts are shares of the one bound, and their sum is checked here.
+//! All parts are shares of one bound, and their sum is checked here. Parts that follow from
+//! something else, as the wait of a read from the number of routers, each look small: with such a
+//! wait a departure was known after 23 s where 4 s are allowed (103 routers, all reads dead since
+//! one second without a store).
 
 use std::time::Duration;
 
--- a/crates/stacktack-direct/src/sending.rs
+++ b/crates/stacktack-direct/src/sending.rs
@@ -147,8 +147,7 @@
                     }
                 },
             };
-            // A connection takes up to 150 ms, and the router's other work as long again: news
-            // that came meanwhile counts.
+            // A connection takes up to 150 ms: news that came meanwhile counts.
             if !self.router.may_send(&attempt.back_end, attempt.life) {
                 return Err(AttemptFailure::Left);
             }
