A look at a back end counts once its connection was kept for a moment

Cause: a connection that comes up right after a run broke off may be the last that a closing listener takes; it was believed as a proof that the back end lives. Now it has to be kept for 10 ms, and one that is closed is tried again, three times. Costs: a repeat after a cut connection waits 10 ms longer.

--- a/crates/stacktack-direct/src/back_end_end.rs
+++ b/crates/stacktack-direct/src/back_end_end.rs
@@ -13,7 +13,7 @@
 use stacktack_core::time::Time;
 
 use crate::attempt::Attempt;
-use crate::client::connect;
+use crate::client::{connect_kept, ConnectError};
 use crate::exchange::Exchange;
 use crate::router::Router;
 
@@ -21,6 +21,14 @@
 /// region take a few milliseconds. A look that takes longer proves nothing.
 const LOOK_LIMIT: Duration = Duration::from_millis(100);
 
+/// Time for which a living back end keeps the connection of a look. One that ends may close its
+/// listener after its connections: connections came up 1 ms after they had all broken. A repeat waits
+/// this long where only its connection was cut.
+const KEPT_FOR: Duration = Duration::from_millis(10);
+
+/// Connections of one look, where each is closed at once.
+const LOOK_TRIES: u32 = 3;
+
 /// Time for which one look counts for all runs that break off at the same back end: an end
 /// breaks dozens at the same moment.
 const LOOK_AGAIN: Duration = Duration::from_millis(300);
@@ -95,8 +103,8 @@
 
 async fn look(router: Rc<Router>, subject: Subject) {
     let id = &subject.id;
-    match connect(subject.address, LOOK_LIMIT).await {
-        Ok(_) => log::info!(target: "ended", "back_end={id} ended=false cause=accepts"),
+    match reach(subject.address).await {
+        Ok(()) => log::info!(target: "ended", "back_end={id} ended=false cause=accepts"),
         Err(error) if error.is_refused() => {
             router.on_back_end_ended(id, subject.life, "refused");
         }
@@ -106,6 +114,20 @@
     }
 }
 
+/// Whether somebody listens and keeps a connection. One that comes up and ends at once may be the
+/// last that a closing listener took, so that it is tried again.
+async fn reach(address: SocketAddr) -> Result<(), ConnectError> {
+    let mut reached = Ok(());
+    for _ in 0..LOOK_TRIES {
+        let connected = connect_kept(address, LOOK_LIMIT, KEPT_FOR).await;
+        reached = connected.map(|_| ());
+        if !matches!(reached, Err(ConnectError::TurnedAway)) {
+            break;
+        }
+    }
+    reached
+}
+
 impl Router {
     /// It showed that a life of a back end ended: what broke off there counts against the
     /// requests that it was running.
--- a/crates/stacktack-direct/src/client.rs
+++ b/crates/stacktack-direct/src/client.rs
@@ -104,11 +104,7 @@
         limit: Duration,
         moment: Duration,
     ) -> Result<Self, ConnectError> {
-        let stream = connect(address, limit).await?;
-        if timeout(moment, stream.readable()).await.is_ok() {
-            return Err(ConnectError::TurnedAway);
-        }
-        Self::over(stream).await
+        Self::over(connect_kept(address, limit, moment).await?).await
     }
 
     async fn over(stream: TcpStream) -> Result<Self, ConnectError> {
@@ -151,11 +147,21 @@
     }
 }
 
-/// Connects within a time limit, for whoever wants to know whether that is possible.
-pub(crate) async fn connect(
+/// Connects, and waits whether the other side keeps the connection for a moment.
+pub(crate) async fn connect_kept(
     address: SocketAddr,
     limit: Duration,
+    moment: Duration,
 ) -> Result<TcpStream, ConnectError> {
+    let stream = connect(address, limit).await?;
+    if timeout(moment, stream.readable()).await.is_ok() {
+        return Err(ConnectError::TurnedAway);
+    }
+    Ok(stream)
+}
+
+/// Connects within a time limit.
+async fn connect(address: SocketAddr, limit: Duration) -> Result<TcpStream, ConnectError> {
     let stream = timeout(limit, TcpStream::connect(address))
         .await
         .map_err(|_| ConnectError::Timeout)??;
