--- a/crates/stacktack-direct/src/candidates.rs
+++ b/crates/stacktack-direct/src/candidates.rs
@@ -1,11 +1,12 @@
 //! Members of a pool as a request finds them: loads, limits and how well they stand.
 
 use stacktack_core::configuration::selector::{matches_all, Requirement};
+use stacktack_core::direct::admission::hold_times::HoldTimes;
 use stacktack_core::direct::admission::pool_load::{LoadReport, PoolLoad};
 use stacktack_core::direct::admission::SlotLimit;
 use stacktack_core::direct::back_ends::directory::LifeId;
 use stacktack_core::direct::back_ends::suspicion::RequestRisk;
-use stacktack_core::direct::choice::select::DirectCandidate;
+use stacktack_core::direct::choice::select::{DirectCandidate, SelectBounds};
 
 use crate::router::Router;
 
@@ -56,7 +57,13 @@
                 standing,
                 open: !drained && member.may_get_requests(now),
             });
-            candidates.reports.push(LoadReport { load, slots, age });
+            candidates.reports.push(LoadReport {
+                load,
+                own: f64::from(member.load.in_flight),
+                usual: member.load.usual(now),
+                slots,
+                age,
+            });
             candidates.ids.push(member.entry.id.clone());
         }
         candidates
@@ -95,12 +102,13 @@
 
     /// Takes for each member the load that is to be expected from the age of its news,
     /// and the limit that follows from the load of the pool.
-    pub fn judge_by(&mut self, pool: &PoolLoad, hold_seconds: f64) {
+    pub fn judge_by(&mut self, pool: &PoolLoad, holds: &HoldTimes, bounds: &SelectBounds) {
+        let passed_by_above = bounds.passed_by_above(pool.mean_between_arrivals());
         for (candidate, report) in self.list.iter_mut().zip(&self.reports) {
             candidate.load = if candidate.open {
-                pool.expected(report, hold_seconds)
+                pool.expected(report, holds, passed_by_above)
             } else {
-                report.left(hold_seconds)
+                report.left(holds)
             };
             candidate.limit = pool.limit(candidate.limit);
         }
