--- a/crates/stacktack-core/tests/passed_by_members/world.rs
+++ b/crates/stacktack-core/tests/passed_by_members/world.rs
@@ -5,11 +5,9 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use stacktack_core::direct::admission::hold_times::HoldTimes;
 use stacktack_core::direct::admission::pool_load::{LoadReport, PoolLoad};
 use stacktack_core::direct::back_ends::load::BackEndLoad;
 use stacktack_core::direct::back_ends::standing::Standing;
-use stacktack_core::direct::choice::part_shares::PartShares;
 use stacktack_core::direct::choice::select::{select_by_affinity, DirectCandidate, SelectBounds};
 use stacktack_core::direct::peers::peer_news::{LoadNews, ShortId, TOLD_LOADS_PER_DATAGRAM};
 use stacktack_core::time::Time;
@@ -114,15 +112,9 @@
 pub struct World {
     plan: Plan,
     draw: ChaCha8Rng,
-    /// Draws at which of its places a part begins.
-    place_draw: ChaCha8Rng,
     queue: EventQueue<Event>,
     /// What each router believes of each back end.
     routers: Vec<Vec<BackEndLoad>>,
-    /// For how long requests of each router were held.
-    holds: Vec<HoldTimes>,
-    /// Parts of the requests of each router.
-    shares: Vec<PartShares>,
     held: Vec<u32>,
     idle_since: Vec<Option<Time>>,
     measured: Measured,
@@ -133,11 +125,8 @@
         let mut world = World {
             plan,
             draw: ChaCha8Rng::seed_from_u64(11),
-            place_draw: ChaCha8Rng::seed_from_u64(7),
             queue: EventQueue::new(START),
             routers: vec![vec![BackEndLoad::default(); plan.back_ends]; plan.routers],
-            holds: vec![HoldTimes::default(); plan.routers],
-            shares: vec![PartShares::default(); plan.routers],
             held: vec![0; plan.back_ends],
             idle_since: vec![None; plan.back_ends],
             measured: Measured::default(),
@@ -188,7 +177,6 @@
         self.queue
             .schedule(FIRST_BYTE, Event::Head { router, back_end });
         let hold = self.plan.holds.draw(&mut self.draw);
-        self.holds[router].note(hold);
         self.queue.schedule(hold, Event::End { router, back_end });
     }
 
@@ -205,48 +193,32 @@
         part
     }
 
-    fn spread(&mut self, router: usize, part: u64) -> SelectBounds {
-        let shares = &mut self.shares[router];
-        shares.note(part, self.queue.now);
-        let places = shares.places(part, self.plan.back_ends);
-        let first_place = self.place_draw.random_range(0..places);
-        SelectBounds::below(MULTIPLE).spread_over(places, first_place)
-    }
-
     fn choose(&mut self, router: usize, part: u64) -> usize {
         let now = self.queue.now;
         let reports: Vec<LoadReport> = self.routers[router]
             .iter()
             .map(|load| LoadReport {
                 load: load.believed(now),
-                own: f64::from(load.in_flight),
-                usual: load.usual(now),
                 slots: SLOTS,
                 age: load.news_age(now),
             })
             .collect();
-        let bounds = self.spread(router, part);
-        let holds = &self.holds[router];
-        let pool = PoolLoad::of(&reports).filter(|_| !holds.is_empty());
-        let expected = |report: &LoadReport| {
-            pool.map_or(report.load, |pool| {
-                let passed_by_above = bounds.passed_by_above(pool.mean_between_arrivals());
-                pool.expected(report, holds, passed_by_above)
-            })
-        };
+        let pool = PoolLoad::of(&reports);
+        let hold = HOLD.as_secs_f64();
         let candidates: Vec<DirectCandidate> = reports
             .iter()
             .enumerate()
             .map(|(index, report)| DirectCandidate {
                 index,
                 id_hash: index as u64,
-                load: expected(report),
+                load: pool.map_or(report.load, |pool| pool.expected(report, hold)),
                 limit: f64::INFINITY,
                 same_zone: true,
                 standing: Standing::Good,
                 open: true,
             })
             .collect();
+        let bounds = SelectBounds::below(MULTIPLE);
         let chosen = select_by_affinity(&candidates, part, &bounds).expect("chosen");
         if let (Some(home), true) = (chosen.home, chosen.rank > 0) {
             let mean = f64::from(self.held.iter().sum::<u32>()) / self.plan.back_ends as f64;
--- a/crates/stacktack-direct/src/candidates.rs
+++ b/crates/stacktack-direct/src/candidates.rs
@@ -1,12 +1,11 @@
 //! Members of a pool as a request finds them: loads, limits and how well they stand.
 
 use stacktack_core::configuration::selector::{matches_all, Requirement};
-use stacktack_core::direct::admission::hold_times::HoldTimes;
 use stacktack_core::direct::admission::pool_load::{LoadReport, PoolLoad};
 use stacktack_core::direct::admission::SlotLimit;
 use stacktack_core::direct::back_ends::directory::LifeId;
 use stacktack_core::direct::back_ends::suspicion::RequestRisk;
-use stacktack_core::direct::choice::select::{DirectCandidate, SelectBounds};
+use stacktack_core::direct::choice::select::DirectCandidate;
 
 use crate::router::Router;
 
@@ -57,13 +56,7 @@
                 standing,
                 open: !drained && member.may_get_requests(now),
             });
-            candidates.reports.push(LoadReport {
-                load,
-                own: f64::from(member.load.in_flight),
-                usual: member.load.usual(now),
-                slots,
-                age,
-            });
+            candidates.reports.push(LoadReport { load, slots, age });
             candidates.ids.push(member.entry.id.clone());
         }
         candidates
@@ -102,13 +95,12 @@
 
     /// Takes for each member the load that is to be expected from the age of its news,
     /// and the limit that follows from the load of the pool.
-    pub fn judge_by(&mut self, pool: &PoolLoad, holds: &HoldTimes, bounds: &SelectBounds) {
-        let passed_by_above = bounds.passed_by_above(pool.mean_between_arrivals());
+    pub fn judge_by(&mut self, pool: &PoolLoad, hold_seconds: f64) {
         for (candidate, report) in self.list.iter_mut().zip(&self.reports) {
             candidate.load = if candidate.open {
-                pool.expected(report, holds, passed_by_above)
+                pool.expected(report, hold_seconds)
             } else {
-                report.left(holds)
+                report.left(hold_seconds)
             };
             candidate.limit = pool.limit(candidate.limit);
         }
