--- a/crates/stacktack-direct/src/followers/directory.rs
+++ b/crates/stacktack-direct/src/followers/directory.rs
@@ -21,8 +21,9 @@
 /// without end.
 const NOTHING_NEW_PAUSE: Duration = Duration::from_millis(50);
 
-/// Time between looks at whether entries that vanished are gone.
-const HELD_LOOK: Duration = Duration::from_millis(250);
+/// Time between looks at whether entries that vanished are gone: with a pause before the store's return
+/// is noticed, 0.4 s, and the time for renewal, 2.2 s, less than the 3 s after which routers are bound again.
+const HELD_LOOK: Duration = Duration::from_millis(100);
 
 /// Follows the directory for ever.
 pub async fn follow_directory(
--- a/crates/stacktack-direct/tests/followers/departures_in_time.rs
+++ b/crates/stacktack-direct/tests/followers/departures_in_time.rs
@@ -20,8 +20,10 @@
 use std::future::Future;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
+use stacktack_core::direct::traffic::route::TrafficConfiguration;
 use stacktack_direct::followers::{follow_directory, follow_peers, Dependency};
 use stacktack_direct::knowledge::{answer_peer, Knowledge, Known, PeerSource};
 use stacktack_direct::ports::{Directory, DirectoryNews, LocalBoxFuture, SourceError};
@@ -262,3 +264,116 @@
     })
     .await;
 }
+
+/// Time after the end of an outage from which a router is bound by departures again.
+const CONTACT: Duration = Duration::from_secs(3);
+
+/// Time after the beginning of an outage for which peers still tell that the store answers them: a
+/// round of news of a small fleet, and of a larger one.
+const TOLD_STILL: [Duration; 2] = [Duration::from_millis(700), Duration::from_millis(2500)];
+
+/// Outages played of each kind: each length several times.
+const LENGTHS: usize = 123;
+
+/// How the store is away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Outage {
+    Refuses,
+    SaysNothing,
+}
+
+/// Peers whom the store stops answering together with the router, and which notice its return no
+/// sooner than the router does.
+async fn beside_peers_in_step(router: Rc<Router>, settled_until: Instant) {
+    loop {
+        after(100).await;
+        let now = router.now();
+        for number in 0..PEERS {
+            let from = SocketAddr::from(([127, 0, 1, number], 9));
+            let mut news = steady_peer(from, 0, router.directory_revision());
+            news.settled = Instant::now() < settled_until;
+            router.peers.borrow_mut().receive(&news, now);
+        }
+    }
+}
+
+async fn outage(directory: &ScriptedDirectory, kind: Outage, millis: u64) {
+    match kind {
+        Outage::Refuses => {
+            directory.set_down(true);
+            after(millis).await;
+            directory.set_down(false);
+        }
+        Outage::SaysNothing => {
+            let end = Instant::now() + Duration::from_millis(millis);
+            while Instant::now() < end {
+                directory.silence_calls_under_way();
+                after(2).await;
+            }
+        }
+    }
+}
+
+/// A back end vanishes, the store confirms it and is away at once, so that routers hear of it
+/// after its return: whoever only could not renew its entry may come back for 2.2 s from then on. A router
+/// that noticed the return late held the departure for as much longer than it may.
+#[tokio::test(start_paused = true)]
+async fn a_departure_right_before_an_outage_is_believed_in_time_after_it() {
+    let mut latest = Duration::ZERO;
+    // Pauses are drawn; the finer steps are where they mattered.
+    let lengths = (100..2000).step_by(50).chain([2500, 4000, 7000]);
+    for kind in [Outage::Refuses, Outage::SaysNothing] {
+        for told_still in TOLD_STILL {
+            for before in [20, 500, 1200, 1900] {
+                for millis in lengths.clone().cycle().take(LENGTHS) {
+                    let known = known_after_outage(kind, told_still, before, millis).await;
+                    assert!(
+                        known < CONTACT,
+                        "{kind:?} {told_still:?} {before} ms before, {millis} ms: {known:?}"
+                    );
+                    latest = latest.max(known);
+                }
+            }
+        }
+    }
+    println!("latest {latest:?} after the return");
+}
+
+/// Time from the store's return until a departure is believed that came so long before the outage.
+async fn known_after_outage(
+    kind: Outage,
+    told_still: Duration,
+    before: u64,
+    millis: u64,
+) -> Duration {
+    let directory = Rc::new(ScriptedDirectory::default());
+    for id in ["a", "b", "c"] {
+        directory.set(id, true);
+    }
+    let router = router();
+    // Only who has a configuration leaves the store to its peers.
+    router.adopt(Arc::new(TrafficConfiguration {
+        version: 1,
+        ..TrafficConfiguration::default()
+    }));
+    let store = Rc::new(Dependency::new("store").expect("chart"));
+    let away_at = Instant::now() + Duration::from_millis(6000 + before);
+    let script = async {
+        after(5500).await;
+        // Other news, after which routers gather.
+        directory.set("c", false);
+        after(500).await;
+        directory.set("a", false);
+        after(before).await;
+        outage(&directory, kind, millis).await;
+        let back = Instant::now();
+        known_after(&router, "a").await;
+        assert!(takes_work(&router, "b"));
+        back.elapsed()
+    };
+    tokio::select! {
+        known = script => known,
+        () = beside_peers_in_step(router.clone(), away_at + told_still) => unreachable!("goes on"),
+        () = follow_directory(router.clone(), directory.clone(), store) => unreachable!("goes on"),
+    }
+}
