--- a/crates/stacktack-direct/tests/followers/departures_in_time.rs
+++ b/crates/stacktack-direct/tests/followers/departures_in_time.rs
@@ -50,20 +50,21 @@
     let store = Rc::new(Dependency::new("store").expect("chart"));
     tokio::select! {
         () = follow_directory(router.clone(), directory.clone(), store) => {}
-        () = beside_peers(router.clone()) => {}
+        () = beside_peers(router.clone(), || true) => {}
         () = script(directory, router.clone()) => {}
     }
 }
 
-/// Peers tell for ever that they know as much as the router, and that the store answered
+/// Peers tell for ever that they know as much as the router, and whether the store answered
 /// them steadily.
-async fn beside_peers(router: Rc<Router>) {
+async fn beside_peers(router: Rc<Router>, settled: impl Fn() -> bool) {
     loop {
         after(100).await;
         let now = router.now();
         for number in 0..PEERS {
             let from = SocketAddr::from(([127, 0, 1, number], 9));
-            let news = steady_peer(from, 0, router.directory_revision());
+            let mut news = steady_peer(from, 0, router.directory_revision());
+            news.settled = settled();
             router.peers.borrow_mut().receive(&news, now);
         }
     }
@@ -282,21 +283,6 @@
     SaysNothing,
 }
 
-/// Peers whom the store stops answering together with the router, and which notice its return no
-/// sooner than the router does.
-async fn beside_peers_in_step(router: Rc<Router>, settled_until: Instant) {
-    loop {
-        after(100).await;
-        let now = router.now();
-        for number in 0..PEERS {
-            let from = SocketAddr::from(([127, 0, 1, number], 9));
-            let mut news = steady_peer(from, 0, router.directory_revision());
-            news.settled = Instant::now() < settled_until;
-            router.peers.borrow_mut().receive(&news, now);
-        }
-    }
-}
-
 async fn outage(directory: &ScriptedDirectory, kind: Outage, millis: u64) {
     match kind {
         Outage::Refuses => {
@@ -358,6 +344,9 @@
     }));
     let store = Rc::new(Dependency::new("store").expect("chart"));
     let away_at = Instant::now() + Duration::from_millis(6000 + before);
+    // The store stops answering the peers together with the router, and they notice its return no
+    // sooner than it does.
+    let settled = || Instant::now() < away_at + told_still;
     let script = async {
         after(5500).await;
         // Other news, after which routers gather.
@@ -373,7 +362,7 @@
     };
     tokio::select! {
         known = script => known,
-        () = beside_peers_in_step(router.clone(), away_at + told_still) => unreachable!("goes on"),
+        () = beside_peers(router.clone(), settled) => unreachable!("goes on"),
         () = follow_directory(router.clone(), directory.clone(), store) => unreachable!("goes on"),
     }
 }
