Sight: what a router takes after a stop signal, for how long it may run, and what its end cuts

A request that a stopping router cut said that its caller left, and no line told when after the signal it was taken, what time was left, how long its route's requests take of late or whether others served. Now a line (part stop) for each request taken after the signal, the outcome cut_by_stop, the end of taking, and the number of answers that the end cut. No decision changes.

--- a/crates/stacktack-core/src/direct/request/mod.rs
+++ b/crates/stacktack-core/src/direct/request/mod.rs
@@ -3,7 +3,9 @@
 //! - [`attempt`]: what one attempt proved and what follows from it.
 //! - [`budget`]: the retry budget that all routers share.
 //! - [`events`]: whole events of a stream, for resumption.
+//! - [`run_times`]: how long requests took of late.
 
 pub mod attempt;
 pub mod budget;
 pub mod events;
+pub mod run_times;
--- a/crates/stacktack-ctl/src/account.rs
+++ b/crates/stacktack-ctl/src/account.rs
@@ -150,6 +150,7 @@
             end.field("config")
         ),
         "no_route" => format!("configuration {} has no route for it", end.field("config")),
+        "cut_by_stop" => format!("the router was told to stop and ended before the answer ({met})"),
         "caller_left" => format!("the caller left before the answer was whole ({met})"),
         other => format!("refused by the router: {other}"),
     }
--- a/crates/stacktack-direct/src/admission.rs
+++ b/crates/stacktack-direct/src/admission.rs
@@ -95,7 +95,9 @@
         // A suspect gets no repeats and earns none.
         router.count_request(&route.targets[target].back_ends);
     }
+    router.log_taken_while_stopping(&id_text, &route, limit);
     router.exchanges.set(router.exchanges.get() + 1);
+    let run = router.begin_run(&route.name, started);
     Ok(Box::new(Exchange {
         router: router.clone(),
         route,
@@ -107,6 +109,7 @@
         caller,
         version,
         started,
+        run,
         limit,
         digest,
         look: None,
--- a/crates/stacktack-direct/src/app.rs
+++ b/crates/stacktack-direct/src/app.rs
@@ -22,23 +22,10 @@
 use crate::metrics::DirectMetrics;
 use crate::news;
 use crate::ports::{ConfigurationSource, Directory, Protocol, VerdictStore};
-use crate::router::{Phase, Router};
+use crate::router::Router;
 use crate::server::{accept_callers, listen, serve_small};
 use crate::settings::{DirectSettings, SettingsSource};
-
-/// Time after a stop signal in which new connections are still served: whoever
-/// sends callers here has to notice first.
-const LOOK_AWAY: Duration = Duration::from_millis(2600);
-
-/// Time after a stop signal for which callers are served while no other router
-/// is known to take them. Answers begun then still have half of a usual grace.
-const LAST_SERVING: Duration = Duration::from_millis(3800);
-
-/// Time that the last bytes of an answer are given to leave.
-const FLUSH: Duration = Duration::from_millis(200);
-
-/// Time between looks at open connections while stopping.
-const STOP_POLL: Duration = Duration::from_millis(50);
+use crate::stopping::stop;
 
 /// Time between clean-ups of resting connections and old places.
 const CLEAN_UP: Duration = Duration::from_secs(1);
@@ -46,9 +33,6 @@
 /// Time between looks at whether the settings changed.
 const SETTINGS_LOOK: Duration = Duration::from_secs(2);
 
-/// Time before the end of the grace at which the process ends by itself.
-const GRACE_MARGIN: Duration = Duration::from_millis(100);
-
 /// Why a direct router ended early.
 #[derive(Debug, Error)]
 pub enum DirectError {
@@ -188,33 +172,8 @@
         router.places.borrow_mut().expire(now);
         router.broken_runs.borrow_mut().expire(now);
         router.quarantine.borrow_mut().expire(now);
+        router.forget_run_times(now);
         router.log_loads();
         router.log_stale_directory();
     }
 }
-
-/// Says that it stops, serves who still comes, then waits for what is under way.
-async fn stop(router: &Router) {
-    let grace = router.bounds().grace;
-    let begun = router.now();
-    let end = begun + grace.saturating_sub(GRACE_MARGIN);
-    log::info!(target: "router", "stopping open_connections={}", router.open_connections.get());
-    router.phase.send_replace(Phase::Closing);
-    sleep(LOOK_AWAY).await;
-    while !router.peers.borrow().any_serving() && router.now().since(begun) < LAST_SERVING {
-        sleep(STOP_POLL).await;
-    }
-    router.phase.send_replace(Phase::Draining);
-    let mut quiet_since = None;
-    while router.open_connections.get() > 0 && router.now() < end {
-        sleep(STOP_POLL.min(end.since(router.now()))).await;
-        quiet_since = match router.exchanges.get() {
-            0 => quiet_since.or(Some(router.now())),
-            _ => None,
-        };
-        if quiet_since.is_some_and(|since| router.now().since(since) >= FLUSH) {
-            break;
-        }
-    }
-    log::info!(target: "router", "stopped open_connections={}", router.open_connections.get());
-}
--- a/crates/stacktack-direct/src/exchange.rs
+++ b/crates/stacktack-direct/src/exchange.rs
@@ -14,6 +14,7 @@
 use stacktack_core::direct::quarantine::digest::RequestDigest;
 use stacktack_core::direct::quarantine::record::Treatment;
 use stacktack_core::direct::request::attempt::{AttemptFailure, AttemptLedger};
+use stacktack_core::direct::request::run_times::RunId;
 use stacktack_core::direct::traffic::route::{Route, Tenant};
 use stacktack_core::time::Time;
 
@@ -21,7 +22,7 @@
 use crate::back_end_end::LookEnd;
 use crate::held::HeldAnswer;
 use crate::ports::{CallerRequest, RefusalKind};
-use crate::router::Router;
+use crate::router::{Phase, Router};
 
 /// How a request ended, for its log line and metrics.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -34,12 +35,15 @@
     Refused(RefusalKind),
     /// The answer broke off midway.
     BrokenOff,
+    /// The process ended before the answer did.
+    CutByStop,
 }
 
 impl Outcome {
     fn word(self) -> &'static str {
         match self {
             Outcome::Open => "caller_left",
+            Outcome::CutByStop => "cut_by_stop",
             Outcome::Answered(_) => "answered",
             Outcome::Refused(kind) => kind.word(),
             Outcome::BrokenOff => "broken_off",
@@ -69,6 +73,8 @@
     pub(crate) caller: CallerRequest,
     pub(crate) version: u64,
     pub(crate) started: Time,
+    /// Its entry in the run times of its route.
+    pub(crate) run: RunId,
     /// When it is over.
     pub(crate) limit: Time,
     /// Which request it is; worked out when it first matters.
@@ -91,6 +97,11 @@
 impl Drop for Exchange {
     fn drop(&mut self) {
         self.router.exchanges.set(self.router.exchanges.get() - 1);
+        if self.outcome == Outcome::Open && *self.router.phase.borrow() == Phase::Ended {
+            self.outcome = Outcome::CutByStop;
+        }
+        let ran = !matches!(self.outcome, Outcome::Refused(_));
+        self.router.end_run(&self.route.name, self.run, ran);
         let seconds = self.elapsed().as_secs_f64();
         self.router
             .metrics
--- a/crates/stacktack-direct/src/lib.rs
+++ b/crates/stacktack-direct/src/lib.rs
@@ -7,7 +7,7 @@
 //! platform that it runs on: those come through [`ports`].
 //!
 //! - [`ports`]: what an adapter supplies.
-//! - [`app`]: start, signals, stop.
+//! - [`app`]: start and signals; `stopping`: the end after a stop signal.
 //! - `server`: callers' connections. `connection`: back-end connections.
 //! - `admission`, `exchange`, `sending`, `candidates`, `choice`, `attempt`: one request from
 //!   head to end; `room`: whether its pool and the router take it; `back_end_end`: whether
@@ -46,5 +46,6 @@
 mod server;
 pub mod settings;
 pub mod source_error;
+mod stopping;
 mod suspension;
 pub mod transfer;
--- a/crates/stacktack-direct/src/router.rs
+++ b/crates/stacktack-direct/src/router.rs
@@ -20,6 +20,7 @@
 use stacktack_core::direct::quarantine::broken_runs::BrokenRuns;
 use stacktack_core::direct::quarantine::Quarantine;
 use stacktack_core::direct::request::budget::SharedRetryBudget;
+use stacktack_core::direct::request::run_times::RunTimes;
 use stacktack_core::direct::sources::departure::HeldDepartures;
 use stacktack_core::direct::traffic::configuration_changes::ConfigurationHistory;
 use stacktack_core::direct::traffic::route::TrafficConfiguration;
@@ -45,6 +46,8 @@
     /// Closes resting connections and refuses what still comes; answers under
     /// way end.
     Draining,
+    /// The process ends: answers that are still under way are cut.
+    Ended,
 }
 
 /// A pool that requests came for.
@@ -114,6 +117,10 @@
     pub metrics: DirectMetrics,
     /// How far the process is on its way to its end.
     pub phase: watch::Sender<Phase>,
+    /// When it was told to stop.
+    pub(crate) stop_begun: Cell<Option<Time>>,
+    /// How long requests took of late, by route.
+    pub(crate) run_times: RefCell<HashMap<String, RunTimes>>,
     /// Whether the store does not answer.
     pub store_lost: Cell<bool>,
     /// Requests under way.
@@ -190,6 +197,8 @@
             verdicts: watch::Sender::new(0),
             metrics,
             phase: watch::Sender::new(Phase::Serving),
+            stop_begun: Cell::default(),
+            run_times: RefCell::default(),
             store_lost: Cell::new(false),
             exchanges: Cell::new(0),
             open_connections: Cell::new(0),
