--- a/crates/stacktack-core/src/direct/request/planned_stop.rs
+++ b/crates/stacktack-core/src/direct/request/planned_stop.rs
@@ -97,9 +97,9 @@
         self.end - FLUSH
     }
 
-    /// Until when callers are still sent here.
+    /// Until when callers are still sent here, or until the end, if that is sooner.
     pub fn looked_away(&self) -> Time {
-        self.begun + LOOK_AWAY
+        (self.begun + LOOK_AWAY).min(self.end)
     }
 
     /// Whether a request is taken now.
@@ -108,17 +108,26 @@
         if request.limit <= due {
             return StopDecision::FitsByLimit;
         }
-        let longest = request.longest_run.unwrap_or_default();
-        if now < self.looked_away() && now + longest < due {
+        if now < self.looked_away() && self.likely_fits(request, now) {
             StopDecision::FitsByExperience
         } else {
             StopDecision::TooLong
         }
     }
 
-    /// When the successor of a router that was told to stop at a time is likely to take requests, where its
-    /// last answers take as long as the longest of late.
-    pub fn successor_at(begun: Time, longest_run: Option<Duration>) -> Time {
-        begun + LOOK_AWAY + longest_run.unwrap_or_default() + RESTART
+    /// Whether a request that was taken is worth another attempt: its answer has time to become whole.
+    pub fn may_try_again(&self, request: &StopRequest, now: Time) -> bool {
+        request.limit <= self.answers_due() || self.likely_fits(request, now)
+    }
+
+    fn likely_fits(&self, request: &StopRequest, now: Time) -> bool {
+        now + request.longest_run.unwrap_or_default() < self.answers_due()
+    }
+
+    /// When the process that follows this one is likely to take requests, where the last answers take as
+    /// long as the longest of late.
+    pub fn successor_at(&self, longest_run: Option<Duration>) -> Time {
+        let done = self.looked_away() + longest_run.unwrap_or_default();
+        done.min(self.end) + RESTART
     }
 }
--- a/crates/stacktack-core/tests/peers.rs
+++ b/crates/stacktack-core/tests/peers.rs
@@ -106,6 +106,26 @@
     assert!(fleet.peers[0].loads().is_empty());
 }
 
+#[test]
+fn the_first_peer_that_stopped_is_known_until_it_serves_again() {
+    let mut fleet = Fleet::new(4);
+    let serving: Vec<_> = (0..4).map(|_| own(1, 1)).collect();
+    let mut news = serving.clone();
+    for round in 0..60 {
+        news[1] = own(1, u16::from(round < 20));
+        news[2] = own(1, u16::from(round < 30));
+        fleet.round(at(round * 250), &news);
+        let stopped = fleet.peers[0].first_stopped();
+        assert_eq!(stopped.is_some(), round >= 20, "round {round}: {stopped:?}");
+    }
+    let first = fleet.peers[0].first_stopped();
+    assert!(first.is_some_and(|time| time < at(30 * 250)), "{first:?}");
+    for round in 60..64 {
+        fleet.round(at(round * 250), &serving);
+    }
+    assert_eq!(fleet.peers[0].first_stopped(), None);
+}
+
 #[test]
 fn the_byte_budget_holds_for_a_large_fleet() {
     let mut fleet = Fleet::new(60);
--- a/crates/stacktack-direct/src/admission.rs
+++ b/crates/stacktack-direct/src/admission.rs
@@ -99,8 +99,8 @@
         router.count_request(&route.targets[target].back_ends);
     }
     router.exchanges.set(router.exchanges.get() + 1);
-    let taken_late = router.note_taken_late();
-    let run = router.begin_run(&route.name, started);
+    let taken_as_last = router.note_taken_as_last();
+    let run = router.begin_run(&route.name);
     Ok(Box::new(Exchange {
         router: router.clone(),
         route,
@@ -113,7 +113,7 @@
         version,
         started,
         run,
-        taken_late,
+        taken_as_last,
         limit,
         digest,
         look: None,
@@ -122,6 +122,7 @@
         tried: Vec::new(),
         admitted: false,
         returned: false,
+        ends_too_soon: false,
         come_back: None,
         outcome: Outcome::Open,
     }))
--- a/crates/stacktack-direct/src/exchange.rs
+++ b/crates/stacktack-direct/src/exchange.rs
@@ -75,8 +75,8 @@
     pub(crate) started: Time,
     /// Its entry in the run times of its route.
     pub(crate) run: RunId,
-    /// Whether it was taken after callers had looked away from a router that stops.
-    pub(crate) taken_late: bool,
+    /// Whether it is one of [`Router::taken_as_last`].
+    pub(crate) taken_as_last: bool,
     /// When it is over.
     pub(crate) limit: Time,
     /// Which request it is; worked out when it first matters.
@@ -91,6 +91,8 @@
     pub(crate) admitted: bool,
     /// Whether its caller came back after a refusal, as far as its patience tells.
     pub(crate) returned: bool,
+    /// Whether it got no further attempt since the process ends too soon.
+    pub(crate) ends_too_soon: bool,
     /// After what time the caller may come back, once its pool had no room.
     pub(crate) come_back: Option<Duration>,
     pub(crate) outcome: Outcome,
@@ -99,14 +101,14 @@
 impl Drop for Exchange {
     fn drop(&mut self) {
         self.router.exchanges.set(self.router.exchanges.get() - 1);
-        if self.taken_late {
-            let late = self.router.late_exchanges.get() - 1;
-            self.router.late_exchanges.set(late);
+        if self.taken_as_last {
+            let left = self.router.taken_as_last.get() - 1;
+            self.router.taken_as_last.set(left);
         }
         if self.outcome == Outcome::Open && *self.router.phase.borrow() == Phase::Ended {
             self.outcome = Outcome::CutByStop;
         }
-        let ran = !matches!(self.outcome, Outcome::Refused(_));
+        let ran = !matches!(self.outcome, Outcome::Refused(kind) if kind.promises_not_run());
         self.router.end_run(&self.route.name, self.run, ran);
         let seconds = self.elapsed().as_secs_f64();
         self.router
@@ -213,12 +215,21 @@
                 }
                 AttemptEnd::NoBackEnd | AttemptEnd::NoRoom => return Err(stored),
             }
-            if !self.may_try_again().await {
+            if !self.has_time_for_another() || !self.may_try_again().await {
                 return Err(stored);
             }
         }
     }
 
+    /// Whether the answer to another attempt has time to become whole before the process ends.
+    fn has_time_for_another(&mut self) -> bool {
+        self.ends_too_soon = !self.router.has_time_for_another(&self.route, self.limit);
+        if self.ends_too_soon {
+            log::info!(target: "stop", "id={} another_attempt=false sends={}", self.id, self.ledger.sends);
+        }
+        !self.ends_too_soon
+    }
+
     /// Counts and logs an attempt that failed.
     pub(crate) fn note_failure(&mut self, failure: AttemptFailure, after: &str) {
         self.in_doubt = false;
@@ -281,6 +292,8 @@
             RefusalKind::TimeOver
         } else if self.ledger.may_have_run || self.in_doubt {
             RefusalKind::Lost
+        } else if self.ends_too_soon {
+            RefusalKind::Stopping
         } else if self.treatment() == Treatment::SetAside {
             RefusalKind::SetAside
         } else if self.treatment() == Treatment::Probation {
--- a/crates/stacktack-direct/src/router.rs
+++ b/crates/stacktack-direct/src/router.rs
@@ -42,7 +42,7 @@
 pub enum Phase {
     /// Takes requests.
     Serving,
-    /// Takes requests, but says that each connection ends with its answer.
+    /// Takes requests that end in time, and says that each connection ends with its answer.
     Closing,
     /// Closes resting connections and refuses what still comes; answers under
     /// way end.
@@ -120,8 +120,10 @@
     pub phase: watch::Sender<Phase>,
     /// The stop signal, once it came.
     pub(crate) planned_stop: Cell<Option<PlannedStop>>,
-    /// Requests under way that were taken after callers had looked away.
-    pub(crate) late_exchanges: Cell<usize>,
+    /// Requests under way that were taken while nobody else served, after callers had looked away.
+    pub(crate) taken_as_last: Cell<usize>,
+    /// Callers' connections whose last answer may not have left yet.
+    pub(crate) answering: Cell<usize>,
     /// How long requests took of late, by route.
     pub(crate) run_times: RefCell<HashMap<String, RunTimes>>,
     /// Whether the store does not answer.
@@ -201,7 +203,8 @@
             metrics,
             phase: watch::Sender::new(Phase::Serving),
             planned_stop: Cell::default(),
-            late_exchanges: Cell::new(0),
+            taken_as_last: Cell::new(0),
+            answering: Cell::new(0),
             run_times: RefCell::default(),
             store_lost: Cell::new(false),
             exchanges: Cell::new(0),
--- a/crates/stacktack-direct/src/server.rs
+++ b/crates/stacktack-direct/src/server.rs
@@ -15,6 +15,7 @@
 use hyper::{Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use stacktack_core::time::Time;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time::sleep;
 
@@ -127,40 +128,73 @@
 }
 
 /// Requests under way on one connection and the last change of that.
-#[derive(Default)]
 struct Activity {
+    router: Rc<Router>,
     under_way: Cell<bool>,
+    /// Whether an answer was begun that may not have left yet.
+    answering: Cell<bool>,
     changed: Cell<Time>,
 }
 
 impl Activity {
-    fn set(&self, under_way: bool, now: Time) {
+    fn new(router: Rc<Router>) -> Self {
+        Activity {
+            under_way: Cell::new(false),
+            answering: Cell::new(false),
+            changed: Cell::new(router.now()),
+            router,
+        }
+    }
+
+    fn set(&self, under_way: bool) {
         self.under_way.set(under_way);
-        self.changed.set(now);
+        self.set_answering(!under_way);
+        self.changed.set(self.router.now());
+    }
+
+    fn set_answering(&self, answering: bool) {
+        let count = &self.router.answering;
+        match (self.answering.replace(answering), answering) {
+            (false, true) => count.set(count.get() + 1),
+            (true, false) => count.set(count.get() - 1),
+            _ => {}
+        }
+    }
+}
+
+impl Drop for Activity {
+    fn drop(&mut self) {
+        self.set_answering(false);
     }
 }
 
 async fn serve_caller(router: Rc<Router>, stream: TcpStream) {
-    let _open = OpenConnection::new(router.clone());
-    if stream.set_nodelay(true).is_err() {
-        return;
+    if stream.set_nodelay(true).is_ok() {
+        serve_connection(router, stream).await;
     }
-    let activity = Rc::new(Activity::default());
-    activity.set(false, router.now());
+}
+
+/// Serves the requests of one connection until it ends.
+pub async fn serve_connection<S>(router: Rc<Router>, stream: S)
+where
+    S: AsyncRead + AsyncWrite + Unpin + 'static,
+{
+    let _open = OpenConnection::new(router.clone());
+    let activity = Rc::new(Activity::new(router.clone()));
     let service = {
         let router = router.clone();
         let activity = activity.clone();
         service_fn(move |request| {
             let router = router.clone();
             let activity = activity.clone();
-            activity.set(true, router.now());
+            activity.set(true);
             async move {
                 let mut response = admission::answer(router.clone(), request).await;
                 if *router.phase.borrow() != Phase::Serving {
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(CONNECTION, close);
                 }
-                activity.set(false, router.now());
+                activity.set(false);
                 Ok::<_, Infallible>(response)
             }
         })
--- a/crates/stacktack-direct/src/stopping.rs
+++ b/crates/stacktack-direct/src/stopping.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use rand::RngExt;
 use stacktack_core::direct::request::planned_stop::{PlannedStop, StopRequest};
 use stacktack_core::direct::request::run_times::RunId;
 use stacktack_core::direct::traffic::route::Route;
@@ -11,14 +12,18 @@
 use crate::respond::RETRY_AFTER;
 use crate::router::{Phase, Router};
 
-/// Time without anything under way after which the process ends.
+/// Time without anything under way after which the process ends: requests may have been sent before their callers
+/// were told that the connection closes.
 const QUIET: Duration = Duration::from_millis(200);
 
+/// Time over which refused callers come back: the first router that is back serves them alone.
+const RETURN_SPREAD: Duration = Duration::from_millis(1500);
+
 /// Time between looks at what is under way while stopping.
 const STOP_POLL: Duration = Duration::from_millis(50);
 
 /// Says that it stops, serves who still comes, then waits for what is under way.
-pub(crate) async fn stop(router: &Router) {
+pub async fn stop(router: &Router) {
     let stop = PlannedStop::new(router.now(), router.bounds().grace);
     router.planned_stop.set(Some(stop));
     log::info!(
@@ -28,7 +33,7 @@
         router.exchanges.get(),
     );
     router.phase.send_replace(Phase::Closing);
-    router.until(stop.looked_away()).await;
+    router.until_in_stop(PlannedStop::looked_away).await;
     serve_as_the_last(router).await;
     log::info!(
         target: "router",
@@ -42,21 +47,22 @@
     router.phase.send_replace(Phase::Ended);
     log::info!(
         target: "router",
-        "stopped after_ms={} open_connections={} cut={}",
+        "stopped after_ms={} open_connections={} cut={} unread={}",
         stop.age(router.now()).as_millis(),
         router.open_connections.get(),
         router.exchanges.get(),
+        router.answering.get(),
     );
 }
 
-/// While no other router serves and older answers keep the process, short requests are still served. What is
-/// taken here does not keep it: its successor, which serves all, is to start as soon as it can.
+/// While no other router serves, short requests are served for as long as requests that came before keep the
+/// process. Those taken here prolong that by their own answers only.
 async fn serve_as_the_last(router: &Router) {
     while !router.peers.borrow().any_serving()
-        && router.exchanges.get() > router.late_exchanges.get()
+        && router.exchanges.get() > router.taken_as_last.get()
         && router.now() < router.stop_end()
     {
-        sleep(STOP_POLL).await;
+        router.poll_in_stop().await;
     }
 }
 
@@ -64,8 +70,8 @@
 async fn drain(router: &Router) {
     let mut quiet_since = None;
     while router.open_connections.get() > 0 && router.now() < router.stop_end() {
-        sleep(STOP_POLL.min(router.stop_end().since(router.now()))).await;
-        quiet_since = match router.exchanges.get() {
+        router.poll_in_stop().await;
+        quiet_since = match router.exchanges.get() + router.answering.get() {
             0 => quiet_since.or(Some(router.now())),
             _ => None,
         };
@@ -121,57 +127,78 @@
     }
 
     /// Counts a request that is taken after callers have looked away; returns whether this one is.
-    pub(crate) fn note_taken_late(&self) -> bool {
+    pub(crate) fn note_taken_as_last(&self) -> bool {
         let now = self.now();
         let stop = self.planned_stop.get();
         let is_late = stop.is_some_and(|stop| now >= stop.looked_away());
         if is_late {
-            self.late_exchanges.set(self.late_exchanges.get() + 1);
+            self.taken_as_last.set(self.taken_as_last.get() + 1);
         }
         is_late
     }
 
+    /// Whether the answer to another attempt of a request that was taken has time to become whole.
+    pub(crate) fn has_time_for_another(&self, route: &Route, limit: Time) -> bool {
+        let request = StopRequest {
+            limit,
+            longest_run: self.longest_run(&route.name),
+        };
+        let now = self.now();
+        let stop = self.planned_stop.get();
+        stop.is_none_or(|stop| stop.may_try_again(&request, now))
+    }
+
     /// Waits until a request is answered at the latest: at its limit, or before the process ends.
     pub(crate) async fn until_answer_due(&self, limit: Time) {
         tokio::select! {
             () = self.until(limit) => {}
-            () = self.until_stop_is_due() => {}
+            () = self.until_in_stop(PlannedStop::answers_due) => {}
         }
     }
 
-    async fn until_stop_is_due(&self) {
+    /// Waits for a moment of the stop, also when that comes sooner than it seemed; for ever while the process
+    /// is not told to stop.
+    async fn until_in_stop(&self, moment: fn(&PlannedStop) -> Time) {
         let mut phase = self.phase.subscribe();
         loop {
-            let due = self.planned_stop.get().map(|stop| stop.answers_due());
+            let stop = self.planned_stop.get();
+            let at = stop.as_ref().map_or(NEVER, moment);
             tokio::select! {
-                () = self.until(due.unwrap_or(NEVER)) => return,
+                () = self.until(at) => return,
                 // An error means that the router is gone, and with it who waits.
                 _ = phase.changed() => {}
             }
         }
     }
 
+    /// Waits for the next look at what is under way, never beyond the end.
+    async fn poll_in_stop(&self) {
+        let left = self.stop_end().since(self.now());
+        sleep(STOP_POLL.min(left)).await;
+    }
+
     /// Time until some router takes all requests again, as far as known.
     pub(crate) fn until_next_serving(&self) -> Duration {
-        let now = self.now();
         let peers = self.peers.borrow();
         if peers.any_serving() {
             return RETRY_AFTER;
         }
-        let own = self.planned_stop.get().map(|stop| now - stop.age(now));
-        let first = own.into_iter().chain(peers.first_stopped()).min();
+        let grace = self.bounds().grace;
+        let of_peer = peers
+            .first_stopped()
+            .map(|begun| PlannedStop::new(begun, grace));
         let longest = self.longest_run_of_all();
-        let back = first.map_or(now, |begun| PlannedStop::successor_at(begun, longest));
-        back.since(now).max(RETRY_AFTER)
+        let stops = self.planned_stop.get().into_iter().chain(of_peer);
+        let back = stops.map(|stop| stop.successor_at(longest)).min();
+        let wait = back.map_or(Duration::ZERO, |back| back.since(self.now()));
+        wait.max(RETRY_AFTER) + RETURN_SPREAD.mul_f64(rand::rng().random())
     }
 
-    /// A request of a route arrived at a time.
-    pub(crate) fn begin_run(&self, route: &str, arrived: Time) -> RunId {
+    /// A request of a route is taken.
+    pub(crate) fn begin_run(&self, route: &str) -> RunId {
+        let now = self.now();
         let mut run_times = self.run_times.borrow_mut();
-        run_times
-            .entry(route.to_owned())
-            .or_default()
-            .begin(arrived)
+        run_times.entry(route.to_owned()).or_default().begin(now)
     }
 
     /// It is over; `ran` as [`stacktack_core::direct::request::run_times::RunTimes::end`] has it.
@@ -182,7 +209,7 @@
         }
     }
 
-    /// Longest time that a request of a route took of late.
+    /// Longest run of a route of late.
     fn longest_run(&self, route: &str) -> Option<Duration> {
         let run_times = self.run_times.borrow();
         run_times.get(route)?.longest(self.now())
