Signals are caught before any address is open

The log says started, so its addresses were open; the handlers were installed after them. No test of ours can hit that moment at will; the order now rules it out. The same in the product's own router and agent.

--- a/crates/stacktack-agent/src/app.rs
+++ b/crates/stacktack-agent/src/app.rs
@@ -18,7 +18,7 @@
 use stacktack_node::logging;
 use stacktack_node::metrics::{Metrics, MetricsError};
 use stacktack_node::settings::EXIT_FAILURE;
-use stacktack_node::signals::wait_for_stop;
+use stacktack_node::signals::StopSignals;
 use stacktack_wire::identity::{Incarnation, NodeId};
 use thiserror::Error;
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
@@ -70,6 +70,7 @@
 async fn run(settings: AgentSettings) -> Result<(), AgentError> {
     let clock = ProcessClock::start();
     let incarnation = draw_incarnation();
+    let mut stop_signals = StopSignals::catch()?;
     let listener = listen("listen", settings.listen)?;
     let operator_listener = listen("operator", settings.operator)?;
     let socket = listen_datagrams("gossip", settings.gossip)?;
@@ -103,7 +104,7 @@
         }
     });
     log::info!(target: "agent", "{} takes routers on {}", settings.name, settings.listen);
-    wait_for_stop().await?;
+    stop_signals.wait().await;
     stop(&commands, &state).await;
     Ok(())
 }
--- a/crates/stacktack-direct/src/app.rs
+++ b/crates/stacktack-direct/src/app.rs
@@ -7,10 +7,10 @@
 use hyper::StatusCode;
 use stacktack_core::chart::ChartError;
 use stacktack_node::metrics::{Metrics, MetricsError};
-use stacktack_node::signals::wait_for_stop;
+use stacktack_node::signals::StopSignals;
 use thiserror::Error;
 use tokio::net::UdpSocket;
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::time::sleep;
 
 use crate::clock::SystemClock;
@@ -63,6 +63,9 @@
 
 /// Runs a direct router until it is told to stop.
 pub async fn run(settings: DirectSettings, ports: Ports) -> Result<(), DirectError> {
+    // Before any address is open: callers that connect count on an orderly stop.
+    let mut stop_signals = StopSignals::catch()?;
+    let hang_up = signal(SignalKind::hangup())?;
     let metrics = Metrics::new()?;
     let instruments = DirectMetrics::new(&metrics.meter());
     let callers = listen(settings.callers)?;
@@ -114,8 +117,8 @@
         Err(_) => (StatusCode::INTERNAL_SERVER_ERROR, Bytes::new()),
     }));
     actix_rt::spawn(clean_up(router.clone()));
-    actix_rt::spawn(follow_settings(router.clone(), ports.settings));
-    wait_for_stop().await?;
+    actix_rt::spawn(follow_settings(router.clone(), ports.settings, hang_up));
+    stop_signals.wait().await;
     stop(&router).await;
     Ok(())
 }
@@ -133,14 +136,7 @@
 }
 
 /// Reads the settings again at a signal, or when they may have changed.
-async fn follow_settings(router: Rc<Router>, source: Rc<dyn SettingsSource>) {
-    let mut hang_up = match signal(SignalKind::hangup()) {
-        Ok(hang_up) => hang_up,
-        Err(error) => {
-            log::error!(target: "settings", "hang-ups are not seen cause=\"{error}\"");
-            return;
-        }
-    };
+async fn follow_settings(router: Rc<Router>, source: Rc<dyn SettingsSource>, mut hang_up: Signal) {
     loop {
         let by_signal = tokio::select! {
             _ = hang_up.recv() => true,
--- a/crates/stacktack-router/src/app.rs
+++ b/crates/stacktack-router/src/app.rs
@@ -23,7 +23,7 @@
 use stacktack_node::logging;
 use stacktack_node::metrics::{Metrics, MetricsError};
 use stacktack_node::settings::EXIT_FAILURE;
-use stacktack_node::signals::wait_for_stop;
+use stacktack_node::signals::StopSignals;
 use stacktack_wire::identity::Incarnation;
 use thiserror::Error;
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
@@ -79,6 +79,7 @@
 async fn run(settings: RouterSettings) -> Result<(), RouterError> {
     let clock = ProcessClock::start();
     let incarnation = draw_incarnation();
+    let mut stop_signals = StopSignals::catch()?;
     let listener = listen("listen", settings.listen)?;
     let operator_listener = listen("operator", settings.operator)?;
     let socket = listen_datagrams("gossip", settings.gossip)?;
@@ -104,7 +105,7 @@
     });
     let server = start_traffic(&settings, &shared, listener)?;
     log::info!(target: "router", "{} takes callers on {}", settings.name, settings.listen);
-    wait_for_stop().await?;
+    stop_signals.wait().await;
     stop(&shared, &server).await;
     Ok(())
 }
