Planned stops: what can't be taken is refused at its head, and no body keeps a caller beyond the end

Whether a request is taken is asked at its head and again when its body is whole; reading ends before the process does. a_request_that_comes_too_late_is_refused_before_its_body failed before.

--- a/crates/stacktack-direct/src/admission.rs
+++ b/crates/stacktack-direct/src/admission.rs
@@ -72,15 +72,25 @@
         .patience
         .map_or(route.timeout, |time| time.min(route.timeout));
     let limit = started + patience;
+    if !router.may_take(&id_text, &route, limit) {
+        return Err(refused(RefusalKind::Stopping));
+    }
     let limited = Limited::new(body, configuration.limits.body_bytes);
-    let body = match router.before(limit, limited.collect()).await {
+    let collected = tokio::select! {
+        biased;
+        collected = limited.collect() => Some(collected),
+        () = router.until_answer_due(limit) => None,
+    };
+    let body = match collected {
         Some(Ok(body)) => body.to_bytes(),
         Some(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
             return Err(refused(RefusalKind::BodyTooLarge))
         }
         Some(Err(_)) => return Err(refused(RefusalKind::Malformed)),
+        None if router.now() < limit => return Err(refused(RefusalKind::Stopping)),
         None => return Err(refused(RefusalKind::BodyTimeout)),
     };
+    // A body may come slowly: what was time enough at the head may not be any more.
     if !router.may_take(&id_text, &route, limit) {
         return Err(refused(RefusalKind::Stopping));
     }
