--- a/crates/stacktack-direct/src/exchange.rs
+++ b/crates/stacktack-direct/src/exchange.rs
@@ -14,6 +14,7 @@
 use stacktack_core::direct::quarantine::digest::RequestDigest;
 use stacktack_core::direct::quarantine::record::Treatment;
 use stacktack_core::direct::request::attempt::{AttemptFailure, AttemptLedger};
+use stacktack_core::direct::request::run_times::RunId;
 use stacktack_core::direct::traffic::route::{Route, Tenant};
 use stacktack_core::time::Time;
 
@@ -21,7 +22,7 @@
 use crate::back_end_end::LookEnd;
 use crate::held::HeldAnswer;
 use crate::ports::{CallerRequest, RefusalKind};
-use crate::router::Router;
+use crate::router::{Phase, Router};
 
 /// How a request ended, for its log line and metrics.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -34,12 +35,15 @@
     Refused(RefusalKind),
     /// The answer broke off midway.
     BrokenOff,
+    /// The process ended before the answer did.
+    CutByStop,
 }
 
 impl Outcome {
     fn word(self) -> &'static str {
         match self {
             Outcome::Open => "caller_left",
+            Outcome::CutByStop => "cut_by_stop",
             Outcome::Answered(_) => "answered",
             Outcome::Refused(kind) => kind.word(),
             Outcome::BrokenOff => "broken_off",
@@ -69,6 +73,10 @@
     pub(crate) caller: CallerRequest,
     pub(crate) version: u64,
     pub(crate) started: Time,
+    /// Its entry in the run times of its route.
+    pub(crate) run: RunId,
+    /// Whether it was taken after callers had looked away from a router that stops.
+    pub(crate) taken_late: bool,
     /// When it is over.
     pub(crate) limit: Time,
     /// Which request it is; worked out when it first matters.
@@ -91,6 +99,15 @@
 impl Drop for Exchange {
     fn drop(&mut self) {
         self.router.exchanges.set(self.router.exchanges.get() - 1);
+        if self.taken_late {
+            let late = self.router.late_exchanges.get() - 1;
+            self.router.late_exchanges.set(late);
+        }
+        if self.outcome == Outcome::Open && *self.router.phase.borrow() == Phase::Ended {
+            self.outcome = Outcome::CutByStop;
+        }
+        let ran = !matches!(self.outcome, Outcome::Refused(_));
+        self.router.end_run(&self.route.name, self.run, ran);
         let seconds = self.elapsed().as_secs_f64();
         self.router
             .metrics
@@ -150,10 +167,10 @@
         let limit = self.limit;
         let verdict = self.verdict();
         let router = self.router.clone();
-        let attempts = router.before(limit, self.attempts());
         let ended = tokio::select! {
             biased;
-            ended = attempts => ended,
+            ended = self.attempts() => Some(ended),
+            () = router.until_answer_due(limit) => None,
             () = verdict => return ExchangeEnd::Refused(self.refusal_kind()),
         };
         match ended {
@@ -163,6 +180,7 @@
             None if self.in_doubt || self.ledger.may_have_run => {
                 ExchangeEnd::Refused(RefusalKind::TimeOver)
             }
+            None if router.now() < limit => ExchangeEnd::Refused(RefusalKind::Stopping),
             None => ExchangeEnd::Refused(RefusalKind::NoBackEnd),
         }
     }
