Core: roll-outs of a version, bounded until proved, decided from mergeable counts

Operators order that a service's traffic move to another version; no code named it. Nothing calls it yet.

--- a/crates/stacktack-core/src/direct/mod.rs
+++ b/crates/stacktack-core/src/direct/mod.rs
@@ -11,6 +11,7 @@
 //! - [`choice`]: which back end a request goes to.
 //! - [`admission`]: whether a pool takes one more request.
 //! - [`quarantine`]: requests that end the back ends which run them.
+//! - [`rollout`]: a service's traffic moves to another version.
 //! - [`request`]: what attempts proved, repeated sends, whole events of a stream.
 
 pub mod admission;
@@ -19,5 +20,6 @@
 pub mod peers;
 pub mod quarantine;
 pub mod request;
+pub mod rollout;
 pub mod sources;
 pub mod traffic;
--- /dev/null
+++ b/crates/stacktack-core/src/direct/rollout/evidence.rs
@@ -0,0 +1,235 @@
+//! How answers of the new version and of the old one went, counted by route, in a form that
+//! routers can merge.
+//!
+//! Each router counts its own answers since the order; what it tells is the whole count so
+//! far. The newest count of each incarnation of a router replaces the one before, so that
+//! news may arrive late, twice and in any order.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::speed::speed_units;
+
+/// Incarnations of routers whose counts are kept: a fleet of some hundred routers that
+/// restart several times.
+const MOST_ROUTERS: usize = 2048;
+
+/// Routes that one router counts: more of one service are counted together.
+const MOST_ROUTES: usize = 24;
+
+/// Counts of others that are told at once: those with the newest bad answers, which have to
+/// arrive early, and some in turn. The tests bear that bad answers arrive before good ones.
+const TOLD_NEWEST: usize = 2;
+const TOLD_IN_TURN: usize = 3;
+
+/// Short form of a route's name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct RouteHash(u16);
+
+impl RouteHash {
+    /// All further routes of a router that serves too many to count each.
+    const OTHERS: RouteHash = RouteHash(0);
+
+    /// From a route's name.
+    pub fn of(name: &str) -> Self {
+        RouteHash(xxh3_64(name.as_bytes()) as u16)
+    }
+}
+
+/// How answers of one version went.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AnswerCounts {
+    /// Answers, failed ones included.
+    pub answers: u32,
+    /// Those that failed.
+    pub failed: u32,
+    /// Those that did not fail and were slow.
+    pub slow: u32,
+    /// Sum of the logarithms of the times that those took which did not fail.
+    pub speed: u32,
+}
+
+/// How one answer went.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerGrade {
+    /// It did not fail.
+    Whole {
+        /// Time to its first byte.
+        took: Duration,
+        /// Whether that was slow.
+        slow: bool,
+    },
+    /// It failed.
+    Failed,
+}
+
+impl AnswerCounts {
+    fn count(&mut self, grade: AnswerGrade) {
+        self.answers += 1;
+        match grade {
+            AnswerGrade::Failed => self.failed += 1,
+            AnswerGrade::Whole { took, slow } => {
+                self.slow += u32::from(slow);
+                self.speed = self.speed.saturating_add(speed_units(took));
+            }
+        }
+    }
+
+    /// Adds another count.
+    pub fn add(&mut self, other: &AnswerCounts) {
+        self.answers = self.answers.saturating_add(other.answers);
+        self.failed = self.failed.saturating_add(other.failed);
+        self.slow = self.slow.saturating_add(other.slow);
+        self.speed = self.speed.saturating_add(other.speed);
+    }
+
+    /// What was counted after an earlier count.
+    pub fn since(&self, earlier: &AnswerCounts) -> AnswerCounts {
+        AnswerCounts {
+            answers: self.answers.saturating_sub(earlier.answers),
+            failed: self.failed.saturating_sub(earlier.failed),
+            slow: self.slow.saturating_sub(earlier.slow),
+            speed: self.speed.saturating_sub(earlier.speed),
+        }
+    }
+}
+
+/// How answers on one route went.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionCounts {
+    /// Of the new version.
+    pub new: AnswerCounts,
+    /// Of the old one.
+    pub old: AnswerCounts,
+}
+
+impl VersionCounts {
+    /// Adds other counts.
+    pub fn add(&mut self, other: &VersionCounts) {
+        self.new.add(&other.new);
+        self.old.add(&other.old);
+    }
+}
+
+/// Counts by route.
+pub type RouteCounts = BTreeMap<RouteHash, VersionCounts>;
+
+/// The counts of one router as routers tell them.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvidenceNews {
+    /// Incarnation of the router that counted.
+    pub router: u32,
+    /// Answers that it counted in all.
+    pub counted: u32,
+    /// Its counts.
+    pub routes: RouteCounts,
+}
+
+impl EvidenceNews {
+    /// Answers of the new version that failed or were slow.
+    fn bad(&self) -> u32 {
+        let counts = self.routes.values().map(|counts| counts.new);
+        counts.map(|new| new.failed.saturating_add(new.slow)).sum()
+    }
+}
+
+/// Counts of the whole fleet as far as one router knows them.
+#[derive(Clone, Debug)]
+pub struct FleetEvidence {
+    own: EvidenceNews,
+    others: BTreeMap<u32, EvidenceNews>,
+    /// Others with new bad answers, the newest last.
+    newest: Vec<u32>,
+    /// Place of the next one to be told in turn.
+    turn: usize,
+}
+
+impl FleetEvidence {
+    /// Nothing is counted; `router` is the incarnation of this one.
+    pub fn new(router: u32) -> Self {
+        FleetEvidence {
+            own: EvidenceNews {
+                router,
+                ..EvidenceNews::default()
+            },
+            others: BTreeMap::new(),
+            newest: Vec::new(),
+            turn: 0,
+        }
+    }
+
+    /// An answer of this router's own.
+    pub fn count(&mut self, route: RouteHash, is_new: bool, grade: AnswerGrade) {
+        let routes = &mut self.own.routes;
+        let is_counted = routes.contains_key(&route) || routes.len() < MOST_ROUTES;
+        let route = if is_counted { route } else { RouteHash::OTHERS };
+        let counts = routes.entry(route).or_default();
+        let side = if is_new {
+            &mut counts.new
+        } else {
+            &mut counts.old
+        };
+        side.count(grade);
+        self.own.counted += 1;
+    }
+
+    /// Takes the counts of another router. Returns whether they are news.
+    pub fn merge(&mut self, news: &EvidenceNews) -> bool {
+        if news.router == self.own.router {
+            return false;
+        }
+        let known = self.others.get(&news.router);
+        if known.is_some_and(|known| known.counted >= news.counted) {
+            return false;
+        }
+        if known.is_none() && self.others.len() >= MOST_ROUTERS {
+            return false;
+        }
+        if news.bad() > known.map_or(0, EvidenceNews::bad) {
+            self.newest.retain(|router| *router != news.router);
+            self.newest.push(news.router);
+            if self.newest.len() > TOLD_NEWEST {
+                self.newest.remove(0);
+            }
+        }
+        self.others.insert(news.router, news.clone());
+        true
+    }
+
+    /// Counts of all routers that are known.
+    pub fn totals(&self) -> RouteCounts {
+        let mut totals = RouteCounts::new();
+        for news in self.others.values().chain([&self.own]) {
+            for (route, counts) in &news.routes {
+                totals.entry(*route).or_default().add(counts);
+            }
+        }
+        totals
+    }
+
+    /// Counts to tell others: the own ones, those with the newest bad answers, and some in turn.
+    pub fn told(&mut self) -> Vec<EvidenceNews> {
+        let mut told = Vec::new();
+        if self.own.counted > 0 {
+            told.push(self.own.clone());
+        }
+        let newest = self.newest.iter().rev();
+        told.extend(newest.filter_map(|router| self.others.get(router).cloned()));
+        let is_told = |news: &&EvidenceNews| self.newest.contains(&news.router);
+        let rest: Vec<&EvidenceNews> = self.others.values().filter(|news| !is_told(news)).collect();
+        let count = rest.len().min(TOLD_IN_TURN);
+        let first = self.turn.checked_rem(rest.len()).unwrap_or(0);
+        told.extend(
+            rest.iter()
+                .cycle()
+                .skip(first)
+                .take(count)
+                .map(|news| (*news).clone()),
+        );
+        self.turn = self.turn.wrapping_add(count);
+        told
+    }
+}
