Platform: orders to roll out versions, and conditional writes of their outcome

An order's row came with the configuration's feed and was left unread. It is read in the same call now, also where it is not valid (typed, with its cause). Nothing calls the write yet, and orders are not acted on.

Test stand-ins that spell out ConfigurationNews and Bounds name the new fields with their empty values; no check is changed.

--- a/crates/stacktack-core/src/direct/back_ends/directory.rs
+++ b/crates/stacktack-core/src/direct/back_ends/directory.rs
@@ -39,6 +39,16 @@
     pub fn zone(&self) -> Option<&str> {
         self.labels.get(ZONE_LABEL).map(String::as_str)
     }
+
+    /// The service that it belongs to, where its label says so.
+    pub fn service(&self) -> Option<&str> {
+        self.labels.get(SERVICE_LABEL).map(String::as_str)
+    }
+
+    /// The version of its software; empty where no label says so.
+    pub fn version(&self) -> &str {
+        self.labels.get(VERSION_LABEL).map_or("", String::as_str)
+    }
 }
 
 /// One life of a back end: its id and its birth.
@@ -105,6 +115,12 @@
 /// Label that names a back end's zone.
 pub const ZONE_LABEL: &str = "zone";
 
+/// Label that names the service that a back end belongs to.
+pub const SERVICE_LABEL: &str = "service";
+
+/// Label that names the version of a back end's software.
+pub const VERSION_LABEL: &str = "version";
+
 /// What changed with a new list of the directory.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct DirectoryChange {
--- a/crates/stacktack-direct/src/ports.rs
+++ b/crates/stacktack-direct/src/ports.rs
@@ -17,6 +17,8 @@
 use stacktack_core::direct::choice::prompt::PromptChain;
 use stacktack_core::direct::quarantine::digest::RequestDigest;
 use stacktack_core::direct::quarantine::StoredVerdict;
+use stacktack_core::direct::rollout::order::RolloutOrder;
+use stacktack_core::direct::rollout::status::{StatusWrite, StatusWriteEnd};
 use stacktack_core::direct::traffic::route::TrafficConfiguration;
 
 pub use crate::source_error::SourceError;
@@ -191,16 +193,46 @@
     pub invalid: bool,
     /// Zones whose drain the operator asked for or took back.
     pub zone_drains: ZoneDrainNews,
+    /// Roll-outs that the operator ordered.
+    pub rollouts: RolloutOrderNews,
 }
 
 impl ConfigurationNews {
-    /// Whether it tells nothing: no version, and nothing of zones.
+    /// Whether it tells nothing: no version, and nothing of zones and roll-outs.
     pub fn is_empty(&self) -> bool {
         let zones = &self.zone_drains;
-        self.versions == 0 && zones.changes.is_empty() && zones.whole_as_of.is_none()
+        let no_zones = zones.changes.is_empty() && zones.whole_as_of.is_none();
+        self.versions == 0 && no_zones && self.rollouts.is_empty()
     }
 }
 
+/// News of roll-outs that the operator ordered.
+#[derive(Clone, Debug, Default)]
+pub struct RolloutOrderNews {
+    /// Orders.
+    pub orders: Vec<RolloutOrder>,
+    /// Orders that cannot be taken.
+    pub refused: Vec<RefusedOrder>,
+}
+
+impl RolloutOrderNews {
+    /// Whether it tells nothing.
+    pub fn is_empty(&self) -> bool {
+        self.orders.is_empty() && self.refused.is_empty()
+    }
+}
+
+/// An order that cannot be taken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RefusedOrder {
+    /// Name that it was given under.
+    pub name: String,
+    /// Revision at which it was given.
+    pub revision: u64,
+    /// Why it cannot be taken.
+    pub cause: String,
+}
+
 /// News of the directory.
 #[derive(Debug, Default)]
 pub struct DirectoryNews {
@@ -252,6 +284,18 @@
     ) -> LocalBoxFuture<'_, Result<(), SourceError>>;
 }
 
+/// Where the outcomes of roll-outs last.
+pub trait RolloutStore {
+    /// Writes a status under its condition; it may have been done before. Whoever calls bounds
+    /// the time by dropping the call: it may be done afterwards still, if its condition holds
+    /// then.
+    fn write_status(
+        &self,
+        write: &StatusWrite,
+        transfer: Rc<Transfer>,
+    ) -> LocalBoxFuture<'_, Result<StatusWriteEnd, SourceError>>;
+}
+
 /// Directory of back ends.
 pub trait Directory {
     /// Everything (`after` is `None`), or news after a revision, waiting up to
--- a/crates/stacktack-direct/src/settings.rs
+++ b/crates/stacktack-direct/src/settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use stacktack_core::direct::request::budget::BudgetBound;
+use stacktack_core::direct::rollout::exposure::ExposureBound;
 
 /// Settings of one process; checked by whoever makes them.
 #[derive(Clone, Debug)]
@@ -56,4 +57,7 @@
     pub retries: BudgetBound,
     /// Load of a back end over the mean that is never exceeded on purpose.
     pub load_cap: f64,
+    /// What a version that is rolled out gets before it is proved; `None` where roll-outs are
+    /// not served.
+    pub exposure: Option<ExposureBound>,
 }
--- a/crates/stacktack-direct/tests/common/mod.rs
+++ b/crates/stacktack-direct/tests/common/mod.rs
@@ -82,6 +82,7 @@
                 window: Duration::from_secs(10),
             },
             load_cap: 2.0,
+            exposure: None,
         },
     };
     let metrics = Metrics::new().expect("metrics");
--- a/crates/stacktack-direct/tests/configuration_in_force/world.rs
+++ b/crates/stacktack-direct/tests/configuration_in_force/world.rs
@@ -17,7 +17,8 @@
 };
 use stacktack_direct::knowledge::{answer_peer, Knowledge, Known, PeerSource};
 use stacktack_direct::ports::{
-    ConfigurationNews, ConfigurationSource, Directory, DirectoryNews, LocalBoxFuture, SourceError,
+    ConfigurationNews, ConfigurationSource, Directory, DirectoryNews, LocalBoxFuture,
+    RolloutOrderNews, SourceError,
 };
 use stacktack_direct::router::Router;
 use stacktack_direct::transfer::Transfer;
@@ -195,6 +196,7 @@
             configuration: (documents > 0).then(|| configuration(revision)),
             invalid: false,
             zone_drains: ZoneDrainNews::default(),
+            rollouts: RolloutOrderNews::default(),
         })
     }
 }
--- a/crates/stacktack-direct/tests/zone_drains.rs
+++ b/crates/stacktack-direct/tests/zone_drains.rs
@@ -20,7 +20,7 @@
 use stacktack_core::direct::traffic::route::TrafficConfiguration;
 use stacktack_direct::followers::{follow_configuration, follow_zone_drains, Dependency};
 use stacktack_direct::ports::{
-    ConfigurationNews, ConfigurationSource, LocalBoxFuture, SourceError,
+    ConfigurationNews, ConfigurationSource, LocalBoxFuture, RolloutOrderNews, SourceError,
 };
 use stacktack_direct::router::Router;
 use stacktack_direct::transfer::Transfer;
@@ -101,6 +101,7 @@
             configuration: is_new.then(|| configuration(version)),
             invalid: false,
             zone_drains: self.zone_drains(after),
+            rollouts: RolloutOrderNews::default(),
         }
     }
 
