Roll-outs: an unproved version gets a share, the outcome is stored once

Callers saw that the workers of a version under roll-out got traffic as all others, bad or not, and the operator's status row never came. Cause: no code named the order.

A router takes orders with the configuration's feed, from peers, and apart where the feed was passed over; candidates are those of one version for each request; attempts count how both versions answer; counts and outcomes travel behind all else in datagrams while there is a roll-out. Harm stops a version at once at each router, whatever the store does. Without exposure_share, or without an order: no call to the store, not one byte more in datagrams (tests), all candidates.

Ruled out: a follower that looks for writes by itself (20 wake-ups a second at rest); a completed version that alone gets traffic for ever (the next release would get none).

--- a/crates/stacktack-core/src/direct/peers/mod.rs
+++ b/crates/stacktack-core/src/direct/peers/mod.rs
@@ -181,6 +181,11 @@
         peers
     }
 
+    /// Drawn anew at each start of this router.
+    pub fn incarnation(&self) -> u32 {
+        self.incarnation
+    }
+
     /// Addresses to try beside those known.
     pub fn add_seeds(&mut self, seeds: &[SocketAddr]) {
         self.seeds = seeds.to_vec();
--- a/crates/stacktack-core/src/direct/rollout/mod.rs
+++ b/crates/stacktack-core/src/direct/rollout/mod.rs
@@ -203,9 +203,9 @@
     }
 
     /// Which version of a service a request may go to.
-    pub fn side(&self, service: &str, is_first_try: bool) -> VersionSide {
+    pub fn side(&self, service: &str, is_first_try: bool, now: Time) -> VersionSide {
         match (self.services.get(service), &self.bound) {
-            (Some(rollout), Some(bound)) => rollout.side(bound, is_first_try),
+            (Some(rollout), Some(bound)) => rollout.side(bound, is_first_try, now),
             _ => VersionSide::Any,
         }
     }
--- a/crates/stacktack-core/src/direct/rollout/running.rs
+++ b/crates/stacktack-core/src/direct/rollout/running.rs
@@ -37,6 +37,10 @@
 const LATE_WRITE_STEP: Duration = Duration::from_millis(50);
 const EARLY_WRITERS: u32 = 8;
 
+/// Time for which requests go to a completed version only: the old back ends stop at once, and
+/// the directory tells that later. Afterwards versions may change without an order.
+const PREFER_COMPLETED: Duration = Duration::from_secs(10);
+
 /// Time for which others are told of a roll-out whose outcome is stored.
 const TELL_DECIDED: Duration = Duration::from_secs(30);
 
@@ -93,7 +97,7 @@
     }
 
     /// Which version a request may go to.
-    pub fn side(&self, bound: &ExposureBound, is_first_try: bool) -> VersionSide {
+    pub fn side(&self, bound: &ExposureBound, is_first_try: bool, now: Time) -> VersionSide {
         let exposed = |allowed: bool| match allowed {
             true => VersionSide::New,
             false => VersionSide::Old,
@@ -106,7 +110,10 @@
             Progress::Whole | Progress::Finished => {
                 exposed(is_first_try && !self.exposure.is_control())
             }
-            Progress::Completed => VersionSide::New,
+            Progress::Completed if self.is_decided_of_late(now, PREFER_COMPLETED) => {
+                VersionSide::New
+            }
+            Progress::Completed => VersionSide::Any,
         }
     }
 
@@ -312,6 +319,10 @@
         changes
     }
 
+    fn is_decided_of_late(&self, now: Time, span: Duration) -> bool {
+        self.decided_at.is_some_and(|at| now.since(at) < span)
+    }
+
     /// Whether the whole traffic goes to the new version.
     fn has_whole(&self) -> bool {
         matches!(self.progress, Progress::Whole | Progress::Finished)
@@ -319,8 +330,8 @@
 
     /// What to tell peers; nothing once all have had time to hear the outcome.
     pub fn told(&mut self, now: Time) -> Option<RolloutNews> {
-        let is_old = |at: Time| now.since(at) >= TELL_DECIDED;
-        if self.decided_at.is_some_and(is_old) || self.withdrawn {
+        let is_told = !self.progress.is_decided() || self.is_decided_of_late(now, TELL_DECIDED);
+        if !is_told || self.withdrawn {
             return None;
         }
         let evidence = match self.progress.is_decided() {
--- a/crates/stacktack-core/tests/rollout/orders.rs
+++ b/crates/stacktack-core/tests/rollout/orders.rs
@@ -62,7 +62,7 @@
     order.duration = Duration::ZERO;
     let end = rollouts.take_order(&order, START);
     assert_eq!(end, OrderEnd::Refused(OrderError::Duration(0.0)));
-    assert_eq!(rollouts.side("s", true), VersionSide::Any);
+    assert_eq!(rollouts.side("s", true, START), VersionSide::Any);
 }
 
 #[test]
@@ -72,7 +72,7 @@
         rollouts.take_order(&order("s", "v2", 5), START),
         OrderEnd::Unbounded
     );
-    assert_eq!(rollouts.side("s", true), VersionSide::Any);
+    assert_eq!(rollouts.side("s", true, START), VersionSide::Any);
     assert!(rollouts.may_send("s", "v2"));
     assert!(rollouts.to_write(START + SECOND).is_empty());
     assert!(rollouts.told(START + SECOND).is_empty());
@@ -85,7 +85,7 @@
         rollouts.take_order(&order("s", "v2", 5), START),
         OrderEnd::Begun
     );
-    assert_eq!(rollouts.side("s", true), VersionSide::Old);
+    assert_eq!(rollouts.side("s", true, START), VersionSide::Old);
     let writes = store(&mut rollouts, 6, START);
     assert_eq!(writes[0].state, StoredState::Running);
     assert_eq!(
@@ -115,7 +115,7 @@
         };
         let changes = rollouts.on_write_end(&write, &end, START);
         assert_eq!(changes.len(), 1);
-        assert_eq!(rollouts.side("s", true), side);
+        assert_eq!(rollouts.side("s", true, START), side);
         assert!(rollouts.to_write(START + 60 * SECOND).is_empty());
         assert!(rollouts.tick(START + 60 * SECOND).is_empty());
     }
@@ -189,7 +189,7 @@
     rollouts.tick(START + SECOND);
     assert_eq!(rollouts.progress("s"), Some(Progress::Stopped));
     assert_eq!(rollouts.progress("t"), Some(Progress::Canary));
-    assert_eq!(rollouts.side("u", true), VersionSide::Any);
+    assert_eq!(rollouts.side("u", true, START), VersionSide::Any);
 }
 
 #[test]
--- a/crates/stacktack-core/tests/rollout/world.rs
+++ b/crates/stacktack-core/tests/rollout/world.rs
@@ -316,7 +316,7 @@
         let fault = self.fault_on(route);
         let now = self.queue.now;
         let sender = &mut self.routers[router];
-        let side = sender.rollouts.side(SERVICE, !retry);
+        let side = sender.rollouts.side(SERVICE, !retry, now);
         let is_new = side == VersionSide::New && sender.rollouts.may_send(SERVICE, NEW);
         let version = if is_new { NEW } else { OLD };
         sender.rollouts.on_send(SERVICE, version);
--- a/crates/stacktack-direct/src/app.rs
+++ b/crates/stacktack-direct/src/app.rs
@@ -15,13 +15,13 @@
 
 use crate::clock::SystemClock;
 use crate::followers::{
-    follow_configuration, follow_directory, follow_peers, follow_routers, follow_verdicts,
-    follow_zone_drains, Dependency,
+    follow_configuration, follow_directory, follow_peers, follow_rollouts, follow_routers,
+    follow_verdicts, follow_zone_drains, Dependency,
 };
 use crate::knowledge::{answer_peer, HttpPeers};
 use crate::metrics::DirectMetrics;
 use crate::news;
-use crate::ports::{ConfigurationSource, Directory, Protocol, VerdictStore};
+use crate::ports::{ConfigurationSource, Directory, Protocol, RolloutStore, VerdictStore};
 use crate::router::{Phase, Router};
 use crate::server::{accept_callers, listen, serve_small};
 use crate::settings::{DirectSettings, SettingsSource};
@@ -73,6 +73,8 @@
     pub directory: Rc<dyn Directory>,
     /// Where verdicts on requests last.
     pub verdicts: Rc<dyn VerdictStore>,
+    /// Where the outcomes of roll-outs last.
+    pub rollouts: Rc<dyn RolloutStore>,
     /// Settings that may change.
     pub settings: Rc<dyn SettingsSource>,
 }
@@ -93,6 +95,7 @@
         instruments,
         Rc::new(SystemClock),
     ));
+    router.serve_rollouts()?;
     let store = Rc::new(Dependency::new("store")?);
     actix_rt::spawn(follow_configuration(
         router.clone(),
@@ -114,6 +117,11 @@
         ports.verdicts,
         store.clone(),
     ));
+    actix_rt::spawn(follow_rollouts(
+        router.clone(),
+        ports.rollouts,
+        store.clone(),
+    ));
     actix_rt::spawn(news::receive(router.clone(), socket.clone()));
     actix_rt::spawn(follow_peers(router.clone(), Rc::new(HttpPeers)));
     actix_rt::spawn(follow_routers(router.clone(), Rc::new(HttpPeers)));
--- a/crates/stacktack-direct/src/attempt.rs
+++ b/crates/stacktack-direct/src/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Instant;
 
 use bytes::Bytes;
@@ -11,9 +12,11 @@
 use stacktack_core::direct::back_ends::back_end::BackEnd;
 use stacktack_core::direct::back_ends::directory::{LifeId, VanishedLife};
 use stacktack_core::direct::request::attempt::AttemptFailure;
+use stacktack_core::direct::traffic::route::Route;
 
 use crate::client::ClientConnection;
 use crate::ports::BackEndAnswer;
+use crate::rollouts::VersionWatch;
 use crate::router::Router;
 
 /// A failed answer of a back end, kept in case no better one comes.
@@ -59,6 +62,8 @@
     /// machine out.
     written: Instant,
     rest_seconds: Option<u64>,
+    /// What it tells of its back end's version, where that is rolled out.
+    version: Option<Box<VersionWatch>>,
 }
 
 impl Attempt {
@@ -84,9 +89,15 @@
             connection: None,
             written: Instant::now(),
             rest_seconds: None,
+            version: None,
         })
     }
 
+    /// It is for a route: its end tells of the version of its back end.
+    pub(crate) fn watch_version(&mut self, route: &Arc<Route>) {
+        self.version = VersionWatch::begin(&self.router, &self.back_end, route).map(Box::new);
+    }
+
     /// Runs on probation: no other suspect goes to its back end meanwhile.
     pub(crate) fn put_on_probation(&mut self) {
         self.on_probation = true;
@@ -108,6 +119,9 @@
     /// The request is about to be written.
     pub fn on_write(&mut self) {
         self.written = Instant::now();
+        if let Some(version) = &self.version {
+            version.on_write(&self.router);
+        }
     }
 
     /// The head of an answer came.
@@ -115,6 +129,9 @@
         self.rest_seconds = told.rest_seconds;
         let now = self.router.now();
         let after = self.written.elapsed();
+        if let Some(version) = &self.version {
+            version.on_head(after);
+        }
         let load = told.load.map(|load| load.running + load.waiting);
         self.with_back_end(|back_end| {
             back_end.on_bytes(now);
@@ -157,6 +174,9 @@
     }
 
     fn note_outcome(&self, failed: bool) {
+        if let Some(version) = &self.version {
+            version.on_outcome(&self.router, failed);
+        }
         let now = self.router.now();
         let mut suspect = None;
         self.with_back_end(|back_end| suspect = back_end.on_outcome(failed, now));
@@ -210,6 +230,9 @@
 
 impl Drop for Attempt {
     fn drop(&mut self) {
+        if let Some(version) = &self.version {
+            version.on_drop(&self.router, self.written.elapsed());
+        }
         let now = self.router.now();
         if self.on_probation {
             self.router.probations.borrow_mut().remove(&self.back_end);
--- a/crates/stacktack-direct/src/candidates.rs
+++ b/crates/stacktack-direct/src/candidates.rs
@@ -6,7 +6,9 @@
 use stacktack_core::direct::back_ends::directory::LifeId;
 use stacktack_core::direct::back_ends::suspicion::RequestRisk;
 use stacktack_core::direct::choice::select::DirectCandidate;
+use stacktack_core::direct::rollout::VersionSide;
 
+use crate::rollouts::VersionChoice;
 use crate::router::Router;
 
 impl Router {
@@ -17,7 +19,8 @@
             return false;
         };
         let drained = self.zone_drains.borrow().covers(&known.entry);
-        !known.entry.leaving && !drained && LifeId::of(&known.entry) == life
+        let is_withheld = self.is_withheld(&known.entry, &back_ends);
+        !known.entry.leaving && !drained && !is_withheld && LifeId::of(&known.entry) == life
     }
 
     /// Candidates of a pool for a request. Without a limit all have room.
@@ -27,12 +30,31 @@
         excluded: &[String],
         request: RequestRisk,
         limit: Option<SlotLimit>,
+    ) -> Candidates {
+        let choice = self.version_choice(pool, excluded.is_empty());
+        let candidates = self.candidates_of(choice, pool, excluded, request, limit);
+        if choice == VersionChoice::Side(VersionSide::New) && !candidates.any_has_room() {
+            let old = VersionChoice::Side(VersionSide::Old);
+            return self.candidates_of(old, pool, excluded, request, limit);
+        }
+        candidates
+    }
+
+    fn candidates_of(
+        &self,
+        choice: VersionChoice,
+        pool: &[Requirement],
+        excluded: &[String],
+        request: RequestRisk,
+        limit: Option<SlotLimit>,
     ) -> Candidates {
         let now = self.now();
         let zone_drains = self.zone_drains.borrow();
         let mut back_ends = self.back_ends.borrow_mut();
         let members = back_ends.pool(now, request, |entry| {
-            matches_all(pool, &entry.labels) && !excluded.contains(&entry.id)
+            matches_all(pool, &entry.labels)
+                && !excluded.contains(&entry.id)
+                && self.may_choose(entry, choice)
         });
         let mut candidates = Candidates::default();
         for (index, (member, standing)) in members.into_iter().enumerate() {
@@ -75,6 +97,12 @@
 }
 
 impl Candidates {
+    /// Whether some may get the request and is not full.
+    fn any_has_room(&self) -> bool {
+        let mut open = self.list.iter().filter(|candidate| candidate.open);
+        open.any(|candidate| candidate.load < candidate.limit)
+    }
+
     /// Load of the pool, over those that may get requests and stand best; `None` where it
     /// is not known.
     pub fn pool_load(&self) -> Option<PoolLoad> {
--- a/crates/stacktack-direct/src/datagram.rs
+++ b/crates/stacktack-direct/src/datagram.rs
@@ -1,5 +1,5 @@
 //! Datagrams between routers: news, then records of the quarantine, then how old what the sender
-//! knows is, then which answers of the store showed it. Routers that do not know a later part leave it unread, and it is absent in what they
+//! knows is, then which answers of the store showed it, then roll-outs, where there are any. Routers that do not know a later part leave it unread, and it is absent in what they
 //! send.
 
 use serde::Deserialize;
@@ -7,6 +7,10 @@
 use stacktack_core::direct::peers::peer_news::PeerNews;
 use stacktack_core::direct::peers::MAXIMUM_DATAGRAM;
 use stacktack_core::direct::quarantine::record::RecordNews;
+use stacktack_core::direct::rollout::rollout_news::RolloutNews;
+
+/// Most bytes of a datagram that roll-outs get.
+const ROLLOUT_BYTES: usize = 300;
 
 /// What a datagram holds.
 #[derive(Debug)]
@@ -19,6 +23,8 @@
     pub ages: KnowledgeAges,
     /// The last answers of the store that showed it; nothing from a release that does not tell.
     pub reads: SourceReads,
+    /// What it knows of roll-outs; nothing where there are none.
+    pub rollouts: Vec<RolloutNews>,
 }
 
 /// Bytes of a datagram; with fewer records where it would be too large.
@@ -39,17 +45,52 @@
     Ok(bytes)
 }
 
+/// The same with roll-outs behind it, where there are any.
+pub fn encode_with_rollouts(
+    news: &PeerNews,
+    records: &[RecordNews],
+    ages: &KnowledgeAges,
+    reads: &SourceReads,
+    rollouts: &[RolloutNews],
+) -> Result<Vec<u8>, postcard::Error> {
+    let bytes = encode(news, records, ages, reads)?;
+    // Parts are read one after the other: without those before there is no place for this one.
+    if rollouts.is_empty() || bytes.len() == postcard::to_allocvec(news)?.len() {
+        return Ok(bytes);
+    }
+    let room = MAXIMUM_DATAGRAM.saturating_sub(bytes.len());
+    let part = fitting(rollouts.to_vec(), room.min(ROLLOUT_BYTES))?;
+    Ok([bytes, part].concat())
+}
+
+/// Roll-outs in so many bytes: counts of routers give way first.
+fn fitting(mut rollouts: Vec<RolloutNews>, bytes: usize) -> Result<Vec<u8>, postcard::Error> {
+    loop {
+        let part = postcard::to_allocvec(&rollouts)?;
+        if part.len() <= bytes {
+            return Ok(part);
+        }
+        let longest = rollouts.iter_mut().max_by_key(|news| news.evidence.len());
+        let dropped = longest.and_then(|news| news.evidence.pop());
+        if dropped.is_none() && rollouts.pop().is_none() {
+            return Ok(Vec::new());
+        }
+    }
+}
+
 /// Reads a datagram.
 pub fn decode(bytes: &[u8]) -> Result<Datagram, postcard::Error> {
     let (news, rest) = postcard::take_from_bytes::<PeerNews>(bytes)?;
     let (records, rest) = later_part::<Vec<RecordNews>>(rest)?;
     let (ages, rest) = later_part::<KnowledgeAges>(rest)?;
-    let (reads, _) = later_part::<SourceReads>(rest)?;
+    let (reads, rest) = later_part::<SourceReads>(rest)?;
+    let (rollouts, _) = later_part::<Vec<RolloutNews>>(rest)?;
     Ok(Datagram {
         news,
         records,
         ages,
         reads,
+        rollouts,
     })
 }
 
--- a/crates/stacktack-direct/src/exchange.rs
+++ b/crates/stacktack-direct/src/exchange.rs
@@ -50,7 +50,7 @@
 /// What can go to the caller.
 pub(crate) enum ExchangeEnd {
     /// A back end's answer, and the attempt that it came from.
-    Answer(HeldAnswer, Attempt),
+    Answer(HeldAnswer, Box<Attempt>),
     /// A back end's failure: nobody gave a better answer.
     FailedAnswer(StoredAnswer),
     /// Nobody gave an answer.
@@ -157,7 +157,7 @@
             () = verdict => return ExchangeEnd::Refused(self.refusal_kind()),
         };
         match ended {
-            Some(Ok((answer, attempt))) => ExchangeEnd::Answer(answer, attempt),
+            Some(Ok((answer, attempt))) => ExchangeEnd::Answer(answer, Box::new(attempt)),
             Some(Err(Some(last))) => ExchangeEnd::FailedAnswer(last),
             Some(Err(None)) => ExchangeEnd::Refused(self.refusal_kind()),
             None if self.in_doubt || self.ledger.may_have_run => {
--- a/crates/stacktack-direct/src/followers/configuration.rs
+++ b/crates/stacktack-direct/src/followers/configuration.rs
@@ -224,6 +224,7 @@
         self.history_gone = false;
         self.known().note_read(news.revision);
         self.router.take_zone_drain_news(&news.zone_drains);
+        self.router.take_rollout_orders(&news.rollouts);
         if news.zone_drains.whole_as_of.is_some() {
             self.drains_missed = false;
         } else if self.drains_missed {
--- /dev/null
+++ b/crates/stacktack-direct/src/followers/rollouts.rs
@@ -0,0 +1,67 @@
+//! Outcomes of roll-outs in the store: each is written under its condition by whichever router
+//! comes first, and learned by those that come after.
+
+use std::rc::Rc;
+
+use stacktack_core::direct::rollout::status::{StatusWrite, StatusWriteEnd};
+use tokio::time::sleep;
+
+use super::dependency::Dependency;
+use super::pause::Pause;
+use crate::ports::{RolloutStore, SourceError};
+use crate::router::Router;
+use crate::transfer::{while_moving, Transfer};
+
+/// Writes what is due, for ever.
+pub async fn follow_rollouts(
+    router: Rc<Router>,
+    source: Rc<dyn RolloutStore>,
+    store: Rc<Dependency>,
+) {
+    let mut pause = Pause::new();
+    loop {
+        router.rollout_write_due.notified().await;
+        for write in router.rollout_writes() {
+            match write_status(&router, source.as_ref(), &store, &write).await {
+                Ok(()) => pause.reset(),
+                Err(error) => {
+                    log::info!(
+                        target: "rollout",
+                        "service={} store=failed state={} cause=\"{error}\"",
+                        write.service,
+                        write.state.word(),
+                    );
+                    sleep(pause.take(&router)).await;
+                }
+            }
+        }
+    }
+}
+
+async fn write_status(
+    router: &Router,
+    source: &dyn RolloutStore,
+    store: &Dependency,
+    write: &StatusWrite,
+) -> Result<(), SourceError> {
+    router.metrics.count_store_call("rollout", "write");
+    let transfer = Transfer::begin();
+    let call = source.write_status(write, transfer.clone());
+    let end = while_moving(call, &transfer, store.patience(false)).await?;
+    let (stored, revision) = match &end {
+        StatusWriteEnd::Stored(revision) => (true, *revision),
+        StatusWriteEnd::Conflict { status, .. } => {
+            (false, status.as_ref().map_or(0, |status| status.revision))
+        }
+    };
+    log::info!(
+        target: "rollout",
+        "service={} version={} store=written state={} stored={stored} revision={revision} ms={}",
+        write.service,
+        write.version,
+        write.state.word(),
+        transfer.elapsed().as_millis(),
+    );
+    router.on_rollout_write(write, &end);
+    Ok(())
+}
--- a/crates/stacktack-direct/src/followers/zone_drains.rs
+++ b/crates/stacktack-direct/src/followers/zone_drains.rs
@@ -1,6 +1,7 @@
 //! Drains of zones that were passed over: whoever has followed peers and goes on from the
 //! version that they told reads what the operator asked of zones meanwhile apart, some
-//! hundred bytes in place of the whole configuration.
+//! hundred bytes in place of the whole configuration; the same for orders to roll out versions,
+//! where they are served.
 
 use std::rc::Rc;
 
@@ -24,6 +25,9 @@
         while !read(&router, source.as_ref(), &store).await {
             sleep(pause.take(&router)).await;
         }
+        while !read_orders(&router, source.as_ref(), &store).await {
+            sleep(pause.take(&router)).await;
+        }
         pause.reset();
     }
 }
@@ -55,3 +59,31 @@
         }
     }
 }
+
+/// Reads orders to roll out versions once; returns whether the store answered.
+async fn read_orders(
+    router: &Router,
+    source: &dyn ConfigurationSource,
+    store: &Dependency,
+) -> bool {
+    if router.bounds().exposure.is_none() {
+        return true;
+    }
+    router.metrics.count_store_call("rollout", "missed");
+    let transfer = Transfer::begin();
+    let call = source.rollout_orders(transfer.clone());
+    match while_moving(call, &transfer, store.patience(false)).await {
+        Ok(news) => {
+            router.take_rollout_orders(&news);
+            true
+        }
+        Err(error) => {
+            log::info!(
+                target: "rollout",
+                "read=store cause=\"{error}\" ms={}",
+                transfer.elapsed().as_millis(),
+            );
+            false
+        }
+    }
+}
--- a/crates/stacktack-direct/src/news.rs
+++ b/crates/stacktack-direct/src/news.rs
@@ -10,7 +10,7 @@
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
-use crate::datagram::{decode, encode};
+use crate::datagram::{decode, encode_with_rollouts};
 use crate::followers::Dependency;
 use crate::router::Router;
 
@@ -39,6 +39,7 @@
                     router.take_ages(&datagram.news, &datagram.ages, &datagram.reads);
                 }
                 take_records(&router, &datagram.records);
+                router.take_rollout_news(&datagram.rollouts);
             }
             Err(error) => log::debug!(target: "peers", "a datagram does not parse: {error}"),
         }
@@ -111,6 +112,7 @@
         tell(&router, &socket, &store).await;
         router.take_peer_loads();
         router.update_cold();
+        router.judge_rollouts();
     }
 }
 
@@ -161,7 +163,9 @@
     let reads = router.told_reads();
     let records = router.quarantine.borrow_mut().told(router.now());
     for datagram in outgoing {
-        let bytes = match encode(&datagram.news, &records, &ages, &reads) {
+        let rollouts = router.told_rollouts();
+        let bytes = encode_with_rollouts(&datagram.news, &records, &ages, &reads, &rollouts);
+        let bytes = match bytes {
             Ok(bytes) => bytes,
             Err(error) => {
                 log::error!(target: "peers", "a datagram cannot be written: {error}");
--- a/crates/stacktack-direct/src/ports.rs
+++ b/crates/stacktack-direct/src/ports.rs
@@ -264,6 +264,15 @@
         &self,
         transfer: Rc<Transfer>,
     ) -> LocalBoxFuture<'_, Result<ZoneDrainNews, SourceError>>;
+
+    /// All roll-outs that are ordered, without the configuration; none from a source that
+    /// holds no orders. Whoever calls bounds the time by dropping the call.
+    fn rollout_orders(
+        &self,
+        _transfer: Rc<Transfer>,
+    ) -> LocalBoxFuture<'_, Result<RolloutOrderNews, SourceError>> {
+        Box::pin(async { Ok(RolloutOrderNews::default()) })
+    }
 }
 
 /// Where verdicts on requests that end back ends last.
--- a/crates/stacktack-direct/src/respond.rs
+++ b/crates/stacktack-direct/src/respond.rs
@@ -35,7 +35,7 @@
 /// Runs a request and answers it.
 pub async fn respond(mut exchange: Box<Exchange>) -> Response<AnswerBody> {
     match exchange.run().await {
-        ExchangeEnd::Answer(answer, attempt) => pass_on(exchange, answer, attempt),
+        ExchangeEnd::Answer(answer, attempt) => pass_on(exchange, answer, *attempt),
         ExchangeEnd::FailedAnswer(last) => pass_failure_on(&mut exchange, last),
         ExchangeEnd::Refused(kind) => refuse(&mut exchange, kind),
     }
--- a/crates/stacktack-direct/src/router.rs
+++ b/crates/stacktack-direct/src/router.rs
@@ -20,6 +20,7 @@
 use stacktack_core::direct::quarantine::broken_runs::BrokenRuns;
 use stacktack_core::direct::quarantine::Quarantine;
 use stacktack_core::direct::request::budget::SharedRetryBudget;
+use stacktack_core::direct::rollout::Rollouts;
 use stacktack_core::direct::sources::departure::HeldDepartures;
 use stacktack_core::direct::traffic::configuration_changes::ConfigurationHistory;
 use stacktack_core::direct::traffic::route::TrafficConfiguration;
@@ -72,6 +73,12 @@
     pub zone_drains: RefCell<ZoneDrains>,
     /// Told when what the operator's store says of zones has to be read anew.
     pub zone_drains_missed: Notify,
+    /// Roll-outs; `None` where they are not served.
+    pub rollouts: RefCell<Option<Rollouts>>,
+    /// Told when the store is to hear of a roll-out.
+    pub(crate) rollout_write_due: Notify,
+    /// Orders to roll out versions that cannot be taken and were logged: revisions by name.
+    pub(crate) refused_rollouts: RefCell<HashMap<String, u64>>,
     /// Resting connections to back ends.
     pub connections: RefCell<RestingConnections>,
     /// Where prompt parts were last read.
@@ -168,6 +175,9 @@
             back_ends: RefCell::default(),
             zone_drains: RefCell::default(),
             zone_drains_missed: Notify::new(),
+            rollouts: RefCell::default(),
+            rollout_write_due: Notify::new(),
+            refused_rollouts: RefCell::default(),
             connections: RefCell::default(),
             places: RefCell::default(),
             admissions: RefCell::default(),
--- a/crates/stacktack-direct/src/sending.rs
+++ b/crates/stacktack-direct/src/sending.rs
@@ -65,6 +65,7 @@
         let Some(mut attempt) = Attempt::begin(self.router.clone(), &back_end, pool, load) else {
             return AttemptEnd::Failure(AttemptFailure::Unreached, None);
         };
+        attempt.watch_version(&self.route);
         if on_probation {
             attempt.put_on_probation();
         }
--- /dev/null
+++ b/crates/stacktack-direct/tests/rollout_datagrams.rs
@@ -0,0 +1,89 @@
+//! Datagrams with roll-outs, and without any.
+
+#[path = "common/steady_peer.rs"]
+mod steady_peer;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use stacktack_core::direct::peers::knowledge_age::{KnowledgeAges, SourceReads};
+use stacktack_core::direct::peers::peer_news::PeerNews;
+use stacktack_core::direct::peers::MAXIMUM_DATAGRAM;
+use stacktack_core::direct::rollout::evidence::{AnswerGrade, FleetEvidence, RouteHash};
+use stacktack_core::direct::rollout::order::RolloutOrder;
+use stacktack_core::direct::rollout::rollout_news::RolloutNews;
+use stacktack_direct::datagram::{decode, encode, encode_with_rollouts};
+
+use steady_peer::steady_peer;
+
+/// Bytes of a datagram that roll-outs may take.
+const MOST_BYTES: usize = 300;
+
+fn news() -> PeerNews {
+    steady_peer(SocketAddr::from(([127, 0, 0, 1], 10)), 3, 4)
+}
+
+/// News of one roll-out with the counts of so many routers on so many routes.
+fn rollout(routers: u32, routes: usize) -> RolloutNews {
+    let order = RolloutOrder::new("service".into(), "v2".into(), 12.0, 7).expect("an order");
+    let evidence = (0..routers).flat_map(|router| {
+        let mut evidence = FleetEvidence::new(u32::MAX - router);
+        for route in 0..routes {
+            let route = RouteHash::of(&format!("route {route}"));
+            for _ in 0..200 {
+                evidence.count(route, true, AnswerGrade::Failed);
+            }
+        }
+        evidence.told()
+    });
+    RolloutNews {
+        order,
+        age: Duration::from_millis(1234),
+        stored: None,
+        harmful: true,
+        proved: false,
+        passed: false,
+        evidence: evidence.collect(),
+    }
+}
+
+fn written(rollouts: &[RolloutNews]) -> Vec<u8> {
+    let (ages, reads) = (KnowledgeAges::default(), SourceReads::default());
+    encode_with_rollouts(&news(), &[], &ages, &reads, rollouts).expect("a datagram")
+}
+
+#[test]
+fn without_a_roll_out_a_datagram_has_not_one_byte_more() {
+    let (ages, reads) = (KnowledgeAges::default(), SourceReads::default());
+    let before = encode(&news(), &[], &ages, &reads).expect("a datagram");
+    assert_eq!(written(&[]), before);
+    assert!(decode(&before).expect("valid").rollouts.is_empty());
+}
+
+#[test]
+fn what_is_written_of_a_roll_out_is_read() {
+    let rollouts = [rollout(1, 2)];
+    let datagram = decode(&written(&rollouts)).expect("valid");
+    assert_eq!(datagram.rollouts, rollouts);
+    assert_eq!(datagram.news, news());
+}
+
+#[test]
+fn counts_that_do_not_fit_are_left_out_and_the_order_stays() {
+    for (routers, routes) in [(6, 4), (6, 24), (1, 24)] {
+        let bytes = written(&[rollout(routers, routes)]);
+        assert!(bytes.len() <= MAXIMUM_DATAGRAM);
+        assert!(bytes.len() <= written(&[]).len() + MOST_BYTES);
+        let datagram = decode(&bytes).expect("valid");
+        assert_eq!(datagram.rollouts[0].order, rollout(0, 0).order);
+        assert!(datagram.rollouts[0].harmful);
+    }
+}
+
+#[test]
+fn more_roll_outs_than_fit_do_not_break_the_datagram() {
+    let many: Vec<RolloutNews> = (0..60).map(|_| rollout(1, 1)).collect();
+    let datagram = decode(&written(&many)).expect("valid");
+    assert!(!datagram.rollouts.is_empty());
+    assert_eq!(datagram.news, news());
+}
