Roll-outs: the old version's requests end before its back ends stop

A tenth of the requests went to the old version, for comparison, up to the moment at which completed is stored and its back ends stop at once; what ran there was cut. None goes there in the last 0.13 of the order's time before that.

All tests of the roll-out pass.

--- a/crates/stacktack-core/src/direct/rollout/running.rs
+++ b/crates/stacktack-core/src/direct/rollout/running.rs
@@ -26,6 +26,10 @@
 const COMPLETE_FROM: f64 = 0.85;
 const LEAST_WHOLE: f64 = 0.15;
 
+/// ... from when none goes to the old version any more, so that what runs there ends before
+/// its back ends stop, ...
+const CONTROL_UNTIL: f64 = 0.72;
+
 /// ... and when what is not proved is given up.
 const EXPIRES: f64 = 0.95;
 
@@ -108,7 +112,8 @@
             Progress::Canary => exposed(is_first_try && self.exposure.allows_canary(bound)),
             Progress::Trial => exposed(is_first_try && self.exposure.allows_trial(bound)),
             Progress::Whole | Progress::Finished => {
-                exposed(is_first_try && !self.exposure.is_control())
+                let is_control = self.part(now) < CONTROL_UNTIL && self.exposure.is_control();
+                exposed(is_first_try && !is_control)
             }
             Progress::Completed if self.is_decided_of_late(now, PREFER_COMPLETED) => {
                 VersionSide::New
