--- a/crates/stacktack-direct/src/respond.rs
+++ b/crates/stacktack-direct/src/respond.rs
@@ -32,7 +32,7 @@
 /// Runs a request and answers it.
 pub async fn respond(mut exchange: Box<Exchange>) -> Response<AnswerBody> {
     match exchange.run().await {
-        ExchangeEnd::Answer(answer, attempt) => pass_on(exchange, answer, attempt),
+        ExchangeEnd::Answer(answer, attempt) => pass_on(exchange, answer, *attempt),
         ExchangeEnd::FailedAnswer(last) => pass_failure_on(&mut exchange, last),
         ExchangeEnd::Refused(kind) => refuse(&mut exchange, kind),
     }
