--- a/crates/stacktack-direct/src/lib.rs
+++ b/crates/stacktack-direct/src/lib.rs
@@ -14,7 +14,7 @@
 //!   what broke an attempt was the end of its back end; `quarantine`: requests that end back ends; [`rollouts`]: versions that are rolled out. `held`, `respond`, `answer`: answers on their way to callers.
 //! - [`followers`]: configuration and directory. `news`, [`datagram`]: what routers tell each
 //!   other; [`knowledge`]: what they hand to each other. [`calls`] and
-//!   [`transfer`]: calls under way and how far their answers have come. [`router`]: state of the process;
+//!   [`transfer`]: calls under way and how far their answers have come. [`router`]: state of the process; `zone_drains`: zones that get nothing;
 //!   [`clock`], `suspension`: its time, and what a suspension of its machine changes.
 
 mod admission;
@@ -50,3 +50,4 @@
 pub mod stopping;
 mod suspension;
 pub mod transfer;
+mod zone_drains;
--- a/crates/stacktack-direct/src/router.rs
+++ b/crates/stacktack-direct/src/router.rs
@@ -12,7 +12,7 @@
 use stacktack_core::direct::admission::PoolAdmission;
 use stacktack_core::direct::back_ends::directory::LifeId;
 use stacktack_core::direct::back_ends::slow_start::KnownFleet;
-use stacktack_core::direct::back_ends::zone_drain::{ZoneDrain, ZoneDrainNews, ZoneDrains};
+use stacktack_core::direct::back_ends::zone_drain::ZoneDrains;
 use stacktack_core::direct::back_ends::BackEnds;
 use stacktack_core::direct::choice::places::PrefixPlaces;
 use stacktack_core::direct::peers::peer_news::{ShortId, ZoneHash};
@@ -354,46 +354,6 @@
         }
     }
 
-    /// Takes news of drains from the operator's store.
-    pub fn take_zone_drain_news(&self, news: &ZoneDrainNews) {
-        let ended = self.zone_drains.borrow().ended(news);
-        for change in news.changes.iter().chain(&ended) {
-            self.take_zone_drain(change, "store");
-        }
-    }
-
-    /// Takes what the operator asked for one zone, from a source with a fixed word.
-    pub fn take_zone_drain(&self, news: &ZoneDrain, source: &'static str) {
-        if !self.zone_drains.borrow_mut().take(news) {
-            return;
-        }
-        let now = self.now();
-        let mut back_ends = self.back_ends.borrow_mut();
-        let members = back_ends.iter();
-        let in_zone = members.filter(|member| member.entry.zone() == Some(&news.zone));
-        let count = in_zone.count();
-        let mut assumed_cold = 0;
-        if !news.drained {
-            let configuration = self.configuration.borrow();
-            let slow_starts = configuration
-                .as_ref()
-                .map_or(&[][..], |known| &known.slow_starts);
-            assumed_cold = back_ends.assume_cold(&news.zone, slow_starts, now);
-        }
-        self.metrics
-            .record_drained_zones(self.zone_drains.borrow().drained());
-        log::info!(
-            target: "zone_drain",
-            "zone={} drained={} revision={} source={source} back_ends={count} assumed_cold={assumed_cold}",
-            news.zone,
-            news.drained,
-            news.revision,
-        );
-        if count == 0 {
-            log::warn!(target: "zone_drain", "zone={} known=false: no back end is in it", news.zone);
-        }
-    }
-
     /// Sets what this router may send to back ends that are cold.
     pub fn update_cold(&self) {
         let configuration = self.configuration.borrow();
@@ -414,20 +374,6 @@
         }
     }
 
-    /// Whether all back ends of a pool are in zones that are drained.
-    pub fn is_drained(&self, pool: &[Requirement]) -> bool {
-        let zone_drains = self.zone_drains.borrow();
-        if zone_drains.drained() == 0 {
-            return false;
-        }
-        let back_ends = self.back_ends.borrow();
-        let mut members = back_ends
-            .iter()
-            .filter(|member| !member.entry.leaving && matches_all(pool, &member.entry.labels))
-            .peekable();
-        members.peek().is_some() && members.all(|member| zone_drains.covers(&member.entry))
-    }
-
     /// Takes a configuration if it is newer than the one in force.
     pub fn adopt(&self, configuration: Arc<TrafficConfiguration>) {
         let mut known = self.configuration.borrow_mut();
