--- a/crates/stacktack-core/src/direct/admission/mod.rs
+++ b/crates/stacktack-core/src/direct/admission/mod.rs
@@ -20,7 +20,6 @@
 //! Where loads are not known (a back end tells none and the fleet is large) the back
 //! ends' own rejections say truly that there is no room ([`rejections`]).
 
-pub mod hold_times;
 pub mod patience;
 pub mod pool_load;
 pub mod pool_share;
@@ -29,11 +28,9 @@
 pub mod returns;
 pub mod target_fill;
 pub mod tenant_shares;
-pub mod trials;
 
 use std::time::Duration;
 
-use crate::direct::admission::hold_times::HoldTimes;
 use crate::direct::admission::patience::UsualPatience;
 use crate::direct::admission::pool_load::PoolLoad;
 use crate::direct::admission::pool_share::{PoolShare, ShareInputs};
@@ -118,7 +115,6 @@
 #[derive(Clone, Debug, Default)]
 pub struct PoolAdmission {
     hold_seconds: Option<f64>,
-    holds: HoldTimes,
     patience: UsualPatience,
     /// Shortest objective seen of late.
     objective: Option<(Duration, Time)>,
@@ -247,7 +243,6 @@
     /// are the back end's when the request was sent there: above the slots the time
     /// grows with the load, and the share beyond was spent waiting.
     pub fn on_whole(&mut self, after: Duration, load: f64, slots: u32) {
-        self.holds.note(after);
         let ran_share = (f64::from(slots) / load.max(1.0)).min(1.0);
         let seconds = (after.as_secs_f64() * ran_share).max(SHORTEST_HOLD);
         let known = self.hold_seconds.unwrap_or(seconds);
@@ -264,11 +259,6 @@
         self.share.per_second()
     }
 
-    /// For how long requests of late held a place at a back end, waiting there included.
-    pub fn holds(&self) -> &HoldTimes {
-        &self.holds
-    }
-
     /// Time that a request holds a slot, in seconds; `None` before the first.
     pub fn hold_seconds(&self) -> Option<f64> {
         self.hold_seconds
--- a/crates/stacktack-core/src/direct/admission/pool_load.rs
+++ b/crates/stacktack-core/src/direct/admission/pool_load.rs
@@ -2,9 +2,6 @@
 
 use std::time::Duration;
 
-use crate::direct::admission::hold_times::HoldTimes;
-use crate::direct::back_ends::load::UsualLoad;
-
 /// Newest reports that count most: enough for a mean whose error is a tenth.
 const NEWEST: usize = 12;
 
@@ -28,28 +25,14 @@
 /// the pool as a whole.
 const FULL_ABOVE_MEAN: f64 = 1.25;
 
-/// Time for which requests go on to come to a back end that told a high load, as a multiple of the mean
-/// age of what is known: until those who send there have heard of it. Without it a tenth more requests reach
-/// one of 180 back ends above its bound.
-const STILL_SENT_FOR: f64 = 0.3;
-
-/// Weight of the pool's mean in what is usual at a back end, in reports: where little is heard of one,
-/// a load that was high by chance should not stay. 2 in place of 0.5 hides which ones are always
-/// busy: a tenth more above the bound.
-const PRIOR: f64 = 0.5;
-
 /// Age of what is known of a pool from which it is old.
 const OLD: Duration = Duration::from_millis(100);
 
 /// What is known of one back end's load.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LoadReport {
     /// Requests that it holds, from all routers.
     pub load: f64,
-    /// Those of them that are this router's: these are known as they are now.
-    pub own: f64,
-    /// Requests that it holds in the mean of late.
-    pub usual: UsualLoad,
     /// Requests that it runs at a time; 0 where that is not known.
     pub slots: u32,
     /// Age of the news; `None` where nothing is known of it but the own requests.
@@ -63,16 +46,11 @@
     /// full it makes the mean of a pool look higher than it is, and others get more than
     /// their bound: with a quarter of 42 back ends drained 3.4 to 6.3 in 100 requests
     /// went to one that held over twice the mean.
-    pub fn left(&self, holds: &HoldTimes) -> f64 {
-        self.load * self.share_left(holds, Duration::ZERO)
-    }
-
-    /// Share of the requests that it told of which it holds still, when none was replaced by another
-    /// from so long after it told them.
-    fn share_left(&self, holds: &HoldTimes, replaced_for: Duration) -> f64 {
-        let age = self.age.map(|age| age.saturating_sub(replaced_for));
-        let left = age.and_then(|age| holds.share_left(age));
-        left.unwrap_or(1.0)
+    pub fn left(&self, hold_seconds: f64) -> f64 {
+        let Some(age) = self.age else {
+            return self.load;
+        };
+        self.load * (-age.as_secs_f64() / hold_seconds).exp()
     }
 }
 
@@ -87,8 +65,6 @@
     pub slots: f64,
     /// Age of what is known.
     pub age: Duration,
-    /// Requests that one holds in the mean of late.
-    usual: f64,
     /// Reports of the same weight that would give as sure a mean.
     reports: f64,
 }
@@ -117,7 +93,6 @@
         };
         let squares: f64 = known.iter().map(|(weight, _)| weight * weight).sum();
         Some(PoolLoad {
-            usual: mean(|report| report.usual.requests),
             reports: whole * whole / squares,
             back_ends: reports.len(),
             mean: mean(|report| report.load),
@@ -168,41 +143,16 @@
         1.0 / (self.slots * self.reports).sqrt()
     }
 
-    /// Load of a back end that is to be expected: of the requests that it told of some have ended, and
-    /// others came since, as usually do there.
-    ///
-    /// A back end tells its load in its answers only. Believed as it was told for as long as nothing
-    /// newer comes, a low load draws what all routers send at once, and a high one raises the mean and
-    /// with it everybody's bound (`tests/passed_by_members`).
-    pub fn expected(&self, report: &LoadReport, holds: &HoldTimes) -> f64 {
-        let usual = (self.share(report) * self.mean_between_arrivals()).max(report.own);
-        let replaced_for = if report.load > usual {
-            self.age.mul_f64(STILL_SENT_FOR)
-        } else {
-            Duration::ZERO
+    /// Load of a back end that is to be expected: what was told a while ago says less
+    /// the more requests began and ended since. A load above the mean stays as it was
+    /// told. Without this, back ends of which the news is old and low get what all
+    /// routers send at once.
+    pub fn expected(&self, report: &LoadReport, hold_seconds: f64) -> f64 {
+        let Some(age) = report.age.filter(|_| report.load < self.mean) else {
+            return report.load;
         };
-        let left = report.share_left(holds, replaced_for);
-        usual + (report.load - usual) * left
-    }
-
-    /// Requests that a back end told of and holds still.
-    pub fn held_still(&self, report: &LoadReport, holds: &HoldTimes) -> f64 {
-        report.load * report.share_left(holds, self.age.mul_f64(STILL_SENT_FOR))
-    }
-
-    /// What a back end usually holds, as a multiple of what all do: the pool's load may have risen
-    /// or fallen since.
-    fn share(&self, report: &LoadReport) -> f64 {
-        if self.usual <= 0.0 {
-            return 1.0;
-        }
-        report.usual.drawn_to(self.usual, PRIOR) / self.usual
-    }
-
-    /// Requests that a back end holds in the mean at a moment that no request chose: a load that is
-    /// told counts the request that is being answered.
-    pub fn mean_between_arrivals(&self) -> f64 {
-        (self.mean - self.oldness()).max(0.5 * self.mean)
+        let kept = (-age.as_secs_f64() / hold_seconds).exp();
+        self.mean + (report.load - self.mean) * kept
     }
 }
 
--- a/crates/stacktack-core/src/direct/back_ends/load.rs
+++ b/crates/stacktack-core/src/direct/back_ends/load.rs
@@ -26,45 +26,6 @@
     pub at: Time,
 }
 
-/// Age over which a load that a back end told loses most of its weight in what is usual there.
-const USUAL_OVER: Duration = Duration::from_secs(6);
-
-/// What a back end told of its load of late, each with a weight that falls with its age.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct UsualLoad {
-    /// Sum of the weights.
-    pub weight: f64,
-    /// Requests that it held in the mean.
-    pub requests: f64,
-}
-
-impl UsualLoad {
-    /// The same when so much time has passed.
-    fn after(self, time: Duration) -> Self {
-        let kept = (-time.as_secs_f64() / USUAL_OVER.as_secs_f64()).exp();
-        UsualLoad {
-            weight: self.weight * kept,
-            ..self
-        }
-    }
-
-    /// With one more load that it told.
-    fn with(self, requests: u32) -> Self {
-        // A load that is told counts the request that is being answered.
-        let told = f64::from(requests.saturating_sub(1));
-        let weight = self.weight + 1.0;
-        UsualLoad {
-            weight,
-            requests: self.requests + (told - self.requests) / weight,
-        }
-    }
-
-    /// The mean with one more report of this weight.
-    pub fn drawn_to(&self, requests: f64, weight: f64) -> f64 {
-        (self.requests * self.weight + requests * weight) / (self.weight + weight)
-    }
-}
-
 /// A request of this router was sent to a back end or ended there.
 #[derive(Clone, Copy, Debug)]
 struct InFlightChange {
@@ -82,10 +43,6 @@
     /// Whether what they told is as new as what the back end tells.
     pub elsewhere_is_fresh: bool,
     last_told: Option<ToldLoad>,
-    /// As of the newest load that it told.
-    usual: UsualLoad,
-    /// When a request of this router last came whose home it is.
-    last_home_request: Option<Time>,
     /// Sends and ends of late, to know what was in flight when a load was told.
     changes: VecDeque<InFlightChange>,
 }
@@ -113,24 +70,6 @@
         (now.since(told.at) < TOLD_LOAD_AGE).then_some(told)
     }
 
-    /// Requests that it held in the mean of late.
-    pub fn usual(&self, now: Time) -> UsualLoad {
-        let since = self
-            .last_told
-            .map_or(Duration::ZERO, |told| now.since(told.at));
-        self.usual.after(since)
-    }
-
-    /// A request came whose home it is, whether it was sent there or not.
-    pub fn on_home_request(&mut self, now: Time) {
-        self.last_home_request = Some(now);
-    }
-
-    /// Time since a request came whose home it is; `None` before the first.
-    pub fn since_home_request(&self, now: Time) -> Option<Duration> {
-        self.last_home_request.map(|last| now.since(last))
-    }
-
     /// Age of what it told of its load, where that is believed.
     pub fn age(&self, now: Time) -> Option<Duration> {
         let told = self.told(now)?;
@@ -151,10 +90,6 @@
         if self.last_told.is_some_and(|known| known.at >= at) {
             return;
         }
-        let since = self
-            .last_told
-            .map_or(Duration::ZERO, |known| at.since(known.at));
-        self.usual = self.usual.after(since).with(requests);
         self.last_told = Some(ToldLoad {
             requests,
             elsewhere: f64::from(requests.saturating_sub(self.in_flight_at(at))),
--- a/crates/stacktack-core/src/direct/choice/part_shares.rs
+++ b/crates/stacktack-core/src/direct/choice/part_shares.rs
@@ -10,17 +10,19 @@
 
 use crate::time::Time;
 
-/// Time for which a request counts: a part that became hot is spread within a second, and one that
-/// cooled down is back at its home in two. Over 3 s a sixth more requests of hot spans reach a back
-/// end above its bound (`tests/passed_by_members`).
+/// Time for which a request counts: after it a part that cooled down is back at its home.
 const SPAN: Duration = Duration::from_secs(2);
 
 /// Requests that count at most.
 const MOST_SEEN: usize = 4096;
 
-/// Multiple of a back end's mean load that one part may bring to one place. With 0.3 3.3 in 100 requests
-/// of hot spans reach one of 180 back ends above its bound, with 0.2 2.3; 3 may.
-const MOST_OF_MEAN: f64 = 0.2;
+/// Requests of a router with the same part from which its share is known: fewer come together by chance
+/// where a router gets few requests, and each further place reads the part once more.
+const LEAST_SEEN: u32 = 3;
+
+/// Multiple of a back end's mean load that one part may bring to one place. What the back end holds in
+/// other parts comes on top.
+const MOST_OF_MEAN: f64 = 0.15;
 
 /// Parts of a router's requests to one pool of late.
 #[derive(Clone, Debug, Default)]
@@ -57,10 +59,13 @@
     }
 
     /// Places over which a part is spread in a pool with so many members: one, unless it surely has a
-    /// larger share of the requests than one place should get. By chance a part is seen more
-    /// often by the square root of its count; one that is seen once stays at its home.
+    /// larger share of the requests than one place should get.
     pub fn places(&self, part: u64, members: usize) -> usize {
-        let count = f64::from(self.counts.get(&part).copied().unwrap_or(0));
+        let count = self.counts.get(&part).copied().unwrap_or(0);
+        if count < LEAST_SEEN {
+            return 1;
+        }
+        let count = f64::from(count);
         let share = (count - count.sqrt()) / self.seen.len().max(1) as f64;
         let places = share * members as f64 / MOST_OF_MEAN;
         (places as usize).clamp(1, members.max(1))
--- a/crates/stacktack-core/src/direct/choice/select.rs
+++ b/crates/stacktack-core/src/direct/choice/select.rs
@@ -2,8 +2,9 @@
 //!
 //! Requests with a shared prompt part are kept together by rendezvous hashing:
 //! the hash of part and back end orders the candidates, the same order at each
-//! router. A part that many requests share is spread over the first places of its order. The first that has room and whose load is within the bound takes the
-//! request; when none is, the least loaded one. When the first four are full and the
+//! router. A part that many requests share is spread over the first places of its order.
+//! The first that has room and whose load is within the bound takes the request; when
+//! none is, the least loaded one. When the first four are full and the
 //! pool as a whole is, no further one is asked for room. Requests without a part go to
 //! the least loaded candidate of their own zone unless another zone is clearly freer.
 //!
@@ -32,9 +33,6 @@
     pub standing: Standing,
     /// Whether it may get requests; else it only counts in the mean.
     pub open: bool,
-    /// Whether it may get a request whose home it is although its load is above the bound, so that
-    /// something is heard of it.
-    pub trial: bool,
 }
 
 /// Bounds of the choice.
@@ -91,11 +89,6 @@
         }
     }
 
-    /// Load above which a candidate is passed by, in a pool with this mean.
-    pub fn passed_by_above(&self, mean: f64) -> f64 {
-        self.spill_factor * mean + self.spill_slack
-    }
-
     /// The same for a part that is spread over places, and a request that begins at one of them.
     pub fn spread_over(self, places: usize, first_place: usize) -> Self {
         SelectBounds {
@@ -203,7 +196,7 @@
             if full >= full_places {
                 return first_full;
             }
-        } else if candidate.load < bound || (rank == 0 && candidate.trial) {
+        } else if candidate.load < bound {
             return Some(rank);
         }
     }
--- a/crates/stacktack-core/tests/admission/main.rs
+++ b/crates/stacktack-core/tests/admission/main.rs
@@ -229,7 +229,6 @@
         load: mean,
         slots: SLOTS,
         age: Some(age),
-        ..LoadReport::default()
     };
     PoolLoad::of(&[report; 6])
 }
@@ -240,7 +239,6 @@
         load,
         slots: SLOTS,
         age: age.map(Duration::from_millis),
-        ..LoadReport::default()
     };
     let known = PoolLoad::of(&[report(2.0, Some(20)), report(12.0, Some(2000))]);
     let mean = known.expect("known").mean;
--- a/crates/stacktack-core/tests/admission/world.rs
+++ b/crates/stacktack-core/tests/admission/world.rs
@@ -286,20 +286,14 @@
             .iter()
             .map(|load| LoadReport {
                 load: load.believed(now),
-                own: f64::from(load.in_flight),
-                usual: load.usual(now),
                 slots,
                 age: load.news_age(now),
             })
             .collect();
         let pool = PoolLoad::of(&reports).filter(|_| self.plan.admission);
-        let mut bounds = SelectBounds::below(2.0);
-        let expected = |report: &LoadReport| {
-            pool.map_or(report.load, |pool| {
-                let passed_by_above = bounds.passed_by_above(pool.mean_between_arrivals());
-                pool.expected(report, admission.holds(), passed_by_above)
-            })
-        };
+        let hold = admission.hold_seconds().unwrap_or(HOLD_SECONDS);
+        let expected =
+            |report: &LoadReport| pool.map_or(report.load, |pool| pool.expected(report, hold));
         let candidate = |(index, report): (usize, &LoadReport)| DirectCandidate {
             index,
             id_hash: index as u64,
@@ -314,6 +308,7 @@
             open: true,
         };
         let candidates: Vec<DirectCandidate> = reports.iter().enumerate().map(candidate).collect();
+        let mut bounds = SelectBounds::below(2.0);
         if pool.is_some_and(|pool| pool.is_full()) {
             bounds = bounds.in_full_pool();
         }
--- a/crates/stacktack-core/tests/closed_members.rs
+++ b/crates/stacktack-core/tests/closed_members.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use stacktack_core::configuration::selector::Labels;
-use stacktack_core::direct::admission::hold_times::HoldTimes;
 use stacktack_core::direct::admission::pool_load::LoadReport;
 use stacktack_core::direct::back_ends::back_end::BackEnd;
 use stacktack_core::direct::back_ends::directory::BackEndEntry;
@@ -106,18 +105,10 @@
         load: 12.0,
         slots: 64,
         age: age.map(Duration::from_millis),
-        ..LoadReport::default()
     };
-    let mut holds = HoldTimes::default();
-    for millis in [250, 500, 750] {
-        holds.note(Duration::from_millis(millis));
-    }
-    assert!((report(Some(0)).left(&holds) - 12.0).abs() < 1e-9);
-    assert!(report(Some(2000)).left(&holds) < 0.3);
-    assert!(
-        (report(None).left(&holds) - 12.0).abs() < 1e-9,
-        "own requests"
-    );
+    assert!((report(Some(0)).left(0.5) - 12.0).abs() < 1e-9);
+    assert!(report(Some(2000)).left(0.5) < 0.3);
+    assert!((report(None).left(0.5) - 12.0).abs() < 1e-9, "own requests");
 }
 
 fn back_end() -> BackEnd {
--- a/crates/stacktack-core/tests/part_shares.rs
+++ b/crates/stacktack-core/tests/part_shares.rs
@@ -37,6 +37,13 @@
     assert_eq!(PartShares::default().places(HOT, MEMBERS), 1);
 }
 
+/// Where a router gets few requests two of them have the same part by chance, and each further place reads it again.
+#[test]
+fn two_of_a_dozen_requests_do_not_spread_a_part() {
+    assert_eq!(shares(6, 12).places(HOT, MEMBERS), 1);
+    assert!(shares(4, 12).places(HOT, MEMBERS) > 1);
+}
+
 /// A quarter of the requests is the load of 45 of 180 members.
 #[test]
 fn a_part_that_many_requests_have_is_spread_by_its_share() {
--- a/crates/stacktack-core/tests/passed_by_members/main.rs
+++ b/crates/stacktack-core/tests/passed_by_members/main.rs
@@ -20,7 +20,7 @@
 
 use std::time::Duration;
 
-use world::{Holds, Homes, Measured, Plan, World};
+use world::{Holds, Measured, Plan, World};
 
 /// Fleets and pools; the first is the one that the story was seen at.
 const PLANS: [Plan; 4] = [
@@ -31,7 +31,6 @@
         mean_load: 8.0,
         holds: Holds::Alike,
         hot_share: 0.0,
-        homes: Homes::AsHashed,
     },
     Plan {
         routers: 30,
@@ -40,7 +39,6 @@
         mean_load: 8.0,
         holds: Holds::Alike,
         hot_share: 0.0,
-        homes: Homes::AsHashed,
     },
     Plan {
         routers: 103,
@@ -49,7 +47,6 @@
         mean_load: 5.0,
         holds: Holds::Alike,
         hot_share: 0.0,
-        homes: Homes::AsHashed,
     },
     Plan {
         routers: 5,
@@ -58,7 +55,6 @@
         mean_load: 20.0,
         holds: Holds::Alike,
         hot_share: 0.0,
-        homes: Homes::AsHashed,
     },
 ];
 
@@ -96,20 +92,6 @@
     check(&measured);
 }
 
-/// Guards against beliefs that hide homes which are always asked for more than they may hold: everybody goes on
-/// sending there, at rank 0 and in good standing.
-#[test]
-fn homes_of_very_unequal_size_are_not_loaded_above_their_bound() {
-    let measured = PLANS.map(|plan| {
-        let homes = Homes::Unequal;
-        World::new(Plan { homes, ..plan }).run()
-    });
-    for measured in &measured {
-        let most = measured.requests / ONE_ABOVE_IN_FIVE_SECONDS;
-        assert!(measured.above <= most, "{measured:?}");
-    }
-}
-
 /// The load bound itself: of the requests of five calm seconds one in so many may reach a member above it.
 const ONE_ABOVE_IN_FIVE_SECONDS: usize = 33;
 
--- a/crates/stacktack-core/tests/passed_by_members/world.rs
+++ b/crates/stacktack-core/tests/passed_by_members/world.rs
@@ -5,9 +5,7 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use stacktack_core::direct::admission::hold_times::HoldTimes;
 use stacktack_core::direct::admission::pool_load::{LoadReport, PoolLoad};
-use stacktack_core::direct::admission::trials::Trials;
 use stacktack_core::direct::back_ends::load::BackEndLoad;
 use stacktack_core::direct::back_ends::standing::Standing;
 use stacktack_core::direct::choice::part_shares::PartShares;
@@ -33,10 +31,6 @@
 /// The part that is hot then.
 const HOT_PART: u64 = 0;
 
-/// Of back ends that are homes of unequal size.
-const ONE_BUSY_HOME_IN: usize = 7;
-const BUSY_HOME_FACTOR: u32 = 4;
-
 /// Time between two datagrams of a router.
 const TICK: Duration = Duration::from_millis(100);
 
@@ -67,17 +61,6 @@
     pub holds: Holds,
     /// Share of the requests that have one and the same part from [`HOT_FROM`] to [`HOT_UNTIL`].
     pub hot_share: f64,
-    pub homes: Homes,
-}
-
-/// How often back ends are the home of a request's part.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Homes {
-    /// As the parts are spread by their hashes.
-    AsHashed,
-    /// One back end in [`ONE_BUSY_HOME_IN`] is asked for [`BUSY_HOME_FACTOR`] times as much as others, in
-    /// many parts, all the time.
-    Unequal,
 }
 
 /// For how long requests are held; [`HOLD`] in the mean.
@@ -116,9 +99,6 @@
     /// bound.
     pub hot_requests: usize,
     pub hot_above: usize,
-    /// Requests whose home is a busy one, and those of them that their home served.
-    pub to_busy_homes: usize,
-    pub at_busy_homes: usize,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -129,44 +109,19 @@
     Tick,
 }
 
-/// Home of a part among idle back ends.
-fn home_of(part: u64, back_ends: usize) -> usize {
-    let idle: Vec<DirectCandidate> = (0..back_ends).map(|index| candidate(index, 0.0)).collect();
-    let bounds = SelectBounds::below(MULTIPLE);
-    let chosen = select_by_affinity(&idle, part, &bounds).expect("chosen");
-    chosen.index
-}
-
-fn candidate(index: usize, load: f64) -> DirectCandidate {
-    DirectCandidate {
-        index,
-        id_hash: index as u64,
-        load,
-        limit: f64::INFINITY,
-        same_zone: true,
-        standing: Standing::Good,
-        open: true,
-        trial: false,
-    }
-}
-
 /// A fleet, its back ends and callers.
 pub struct World {
     plan: Plan,
     draw: ChaCha8Rng,
-    /// Draws where a part begins among its places, and trials.
+    /// Draws at which of its places a part begins.
     place_draw: ChaCha8Rng,
     queue: EventQueue<Event>,
     /// What each router believes of each back end.
     routers: Vec<Vec<BackEndLoad>>,
-    /// For how long requests of each router were held.
-    holds: Vec<HoldTimes>,
     /// Parts of the requests of each router.
     shares: Vec<PartShares>,
     held: Vec<u32>,
     idle_since: Vec<Option<Time>>,
-    /// Home of each part.
-    homes: Vec<usize>,
     measured: Measured,
 }
 
@@ -178,13 +133,9 @@
             place_draw: ChaCha8Rng::seed_from_u64(7),
             queue: EventQueue::new(START),
             routers: vec![vec![BackEndLoad::default(); plan.back_ends]; plan.routers],
-            holds: vec![HoldTimes::default(); plan.routers],
             shares: vec![PartShares::default(); plan.routers],
             held: vec![0; plan.back_ends],
             idle_since: vec![None; plan.back_ends],
-            homes: (0..plan.parts)
-                .map(|part| home_of(part, plan.back_ends))
-                .collect(),
             measured: Measured::default(),
         };
         world.queue.schedule(Duration::ZERO, Event::Arrival);
@@ -233,7 +184,6 @@
         self.queue
             .schedule(FIRST_BYTE, Event::Head { router, back_end });
         let hold = self.plan.holds.draw(&mut self.draw);
-        self.holds[router].note(hold);
         self.queue.schedule(hold, Event::End { router, back_end });
     }
 
@@ -243,26 +193,13 @@
     }
 
     fn draw_part(&mut self) -> u64 {
-        let part = self.draw_usual_part();
+        let part = self.draw.random_range(0..self.plan.parts);
         if self.is_hot() && self.draw.random_bool(self.plan.hot_share) {
             return HOT_PART;
         }
         part
     }
 
-    fn draw_usual_part(&mut self) -> u64 {
-        loop {
-            let part = self.draw.random_range(0..self.plan.parts);
-            let is_busy = self.homes[part as usize].is_multiple_of(ONE_BUSY_HOME_IN);
-            if self.plan.homes == Homes::AsHashed
-                || is_busy
-                || self.draw.random_ratio(1, BUSY_HOME_FACTOR)
-            {
-                return part;
-            }
-        }
-    }
-
     fn spread(&mut self, router: usize, part: u64) -> SelectBounds {
         let shares = &mut self.shares[router];
         shares.note(part, self.queue.now);
@@ -273,71 +210,40 @@
 
     fn choose(&mut self, router: usize, part: u64) -> usize {
         let now = self.queue.now;
+        let reports: Vec<LoadReport> = self.routers[router]
+            .iter()
+            .map(|load| LoadReport {
+                load: load.believed(now),
+                slots: SLOTS,
+                age: load.news_age(now),
+            })
+            .collect();
+        let pool = PoolLoad::of(&reports);
+        let hold = HOLD.as_secs_f64();
+        let candidates: Vec<DirectCandidate> = reports
+            .iter()
+            .enumerate()
+            .map(|(index, report)| DirectCandidate {
+                index,
+                id_hash: index as u64,
+                load: pool.map_or(report.load, |pool| pool.expected(report, hold)),
+                limit: f64::INFINITY,
+                same_zone: true,
+                standing: Standing::Good,
+                open: true,
+            })
+            .collect();
         let bounds = self.spread(router, part);
-        let trial_draw = self.place_draw.random_range(0.0..1.0);
-        let candidates = self.candidates(router, &bounds, trial_draw);
         let chosen = select_by_affinity(&candidates, part, &bounds).expect("chosen");
-        if let Some(home) = chosen.home {
-            self.routers[router][home].on_home_request(now);
-        }
         if let (Some(home), true) = (chosen.home, chosen.rank > 0) {
             let mean = f64::from(self.held.iter().sum::<u32>()) / self.plan.back_ends as f64;
             self.measured.passed += 1;
             self.measured.wrongly += usize::from(f64::from(self.held[home]) < mean);
         }
-        self.count_busy_home(self.homes[part as usize], chosen.index);
         self.judge(chosen.index, chosen.mean);
         chosen.index
     }
 
-    fn candidates(
-        &self,
-        router: usize,
-        bounds: &SelectBounds,
-        trial_draw: f64,
-    ) -> Vec<DirectCandidate> {
-        let now = self.queue.now;
-        let loads = &self.routers[router];
-        let reports: Vec<LoadReport> = loads
-            .iter()
-            .map(|load| LoadReport {
-                load: load.believed(now),
-                own: f64::from(load.in_flight),
-                usual: load.usual(now),
-                slots: SLOTS,
-                age: load.news_age(now),
-            })
-            .collect();
-        let holds = &self.holds[router];
-        let pool = PoolLoad::of(&reports).filter(|_| !holds.is_empty());
-        let judge = |index: usize, report: &LoadReport| {
-            let Some(pool) = pool else {
-                return candidate(index, report.load);
-            };
-            let passed_by_above = bounds.passed_by_above(pool.mean_between_arrivals());
-            let trials = Trials {
-                pool: &pool,
-                holds,
-                routers: self.plan.routers,
-            };
-            let since = loads[index].since_home_request(now);
-            DirectCandidate {
-                trial: trials.held_still(report) < passed_by_above
-                    && trial_draw < trials.chance(since),
-                ..candidate(index, pool.expected(report, holds))
-            }
-        };
-        let judged = reports.iter().enumerate();
-        judged.map(|(index, report)| judge(index, report)).collect()
-    }
-
-    fn count_busy_home(&mut self, home: usize, chosen: usize) {
-        if home.is_multiple_of(ONE_BUSY_HOME_IN) {
-            self.measured.to_busy_homes += 1;
-            self.measured.at_busy_homes += usize::from(home == chosen);
-        }
-    }
-
     fn judge(&mut self, back_end: usize, believed_mean: f64) {
         if self.queue.now.since(START) < WARM_UP {
             return;
--- a/crates/stacktack-direct/src/candidates.rs
+++ b/crates/stacktack-direct/src/candidates.rs
@@ -1,15 +1,11 @@
 //! Members of a pool as a request finds them: loads, limits and how well they stand.
 
-use std::time::Duration;
-
 use stacktack_core::configuration::selector::{matches_all, Requirement};
-use stacktack_core::direct::admission::hold_times::HoldTimes;
 use stacktack_core::direct::admission::pool_load::{LoadReport, PoolLoad};
-use stacktack_core::direct::admission::trials::Trials;
 use stacktack_core::direct::admission::SlotLimit;
 use stacktack_core::direct::back_ends::directory::LifeId;
 use stacktack_core::direct::back_ends::suspicion::RequestRisk;
-use stacktack_core::direct::choice::select::{DirectCandidate, SelectBounds};
+use stacktack_core::direct::choice::select::DirectCandidate;
 
 use crate::router::Router;
 
@@ -59,18 +55,8 @@
                 same_zone: zone == Some(&self.settings.zone),
                 standing,
                 open: !drained && member.may_get_requests(now),
-                trial: false,
-            });
-            candidates
-                .since_home_request
-                .push(member.load.since_home_request(now));
-            candidates.reports.push(LoadReport {
-                load,
-                own: f64::from(member.load.in_flight),
-                usual: member.load.usual(now),
-                slots,
-                age,
             });
+            candidates.reports.push(LoadReport { load, slots, age });
             candidates.ids.push(member.entry.id.clone());
         }
         candidates
@@ -84,8 +70,6 @@
     pub list: Vec<DirectCandidate>,
     /// What is known of their loads, in the same order.
     reports: Vec<LoadReport>,
-    /// Time since a request came whose home each is, in the same order.
-    since_home_request: Vec<Option<Duration>>,
     /// Their ids, in the same order.
     pub ids: Vec<String>,
 }
@@ -111,24 +95,14 @@
 
     /// Takes for each member the load that is to be expected from the age of its news,
     /// and the limit that follows from the load of the pool.
-    pub fn judge_by(&mut self, pool: &PoolLoad, holds: &HoldTimes) {
+    pub fn judge_by(&mut self, pool: &PoolLoad, hold_seconds: f64) {
         for (candidate, report) in self.list.iter_mut().zip(&self.reports) {
             candidate.load = if candidate.open {
-                pool.expected(report, holds)
+                pool.expected(report, hold_seconds)
             } else {
-                report.left(holds)
+                report.left(hold_seconds)
             };
             candidate.limit = pool.limit(candidate.limit);
         }
     }
-
-    /// Lets members that would be passed by on old news have a request on trial, each with its chance.
-    pub fn allow_trials(&mut self, trials: &Trials, bounds: &SelectBounds, draw: f64) {
-        let passed_by_above = bounds.passed_by_above(trials.pool.mean_between_arrivals());
-        let members = self.reports.iter().zip(&self.since_home_request);
-        for (candidate, (report, since)) in self.list.iter_mut().zip(members) {
-            candidate.trial =
-                trials.held_still(report) < passed_by_above && draw < trials.chance(*since);
-        }
-    }
 }
--- a/crates/stacktack-direct/src/choice.rs
+++ b/crates/stacktack-direct/src/choice.rs
@@ -6,7 +6,6 @@
 use rand::{Rng, RngExt};
 use stacktack_core::configuration::selector::matches_all;
 use stacktack_core::direct::admission::pool_load::PoolLoad;
-use stacktack_core::direct::admission::trials::Trials;
 use stacktack_core::direct::admission::SlotLimit;
 use stacktack_core::direct::back_ends::standing::Standing;
 use stacktack_core::direct::back_ends::suspicion::RequestRisk;
@@ -16,7 +15,6 @@
 };
 use stacktack_core::direct::peers::peer_news::ShortId;
 
-use crate::candidates::Candidates;
 use crate::exchange::Exchange;
 use crate::router::pool_name;
 
@@ -93,16 +91,13 @@
             .router
             .candidates(self.pool(), &self.tried, self.risk(), limit);
         let pool_load = candidates.pool_load();
-        let mut bounds = SelectBounds::below(self.router.bounds().load_cap);
-        if let Some(pool) = pool_load {
-            self.judge(&mut candidates, &pool);
+        if let (Some(pool), Some(hold)) = (pool_load, self.hold_seconds()) {
+            candidates.judge_by(&pool, hold);
         }
+        let mut bounds = SelectBounds::below(self.router.bounds().load_cap);
         if pool_load.is_some_and(|pool| pool.is_full()) {
             bounds = bounds.in_full_pool();
         }
-        if let Some(pool) = pool_load {
-            self.allow_trials(&mut candidates, &pool, &bounds);
-        }
         let selection = match self.caller.prompt.affinity_part() {
             Some(part) => {
                 bounds = self.spread(part.id, candidates.list.len(), bounds);
@@ -110,9 +105,6 @@
             }
             None => select_by_load(&candidates.list, rand::rng().next_u64(), &bounds),
         }?;
-        if let Some(home) = selection.home {
-            self.router.note_home_request(&candidates.ids[home]);
-        }
         let standing = candidates.list[selection.index].standing;
         let back_end = candidates.ids[selection.index].clone();
         let load_age = self.router.load_age(&back_end);
@@ -141,30 +133,6 @@
         bounds.spread_over(places, rand::rng().random_range(0..places))
     }
 
-    /// Takes what is to be expected of loads by now, once it is known how long requests are held.
-    fn judge(&self, candidates: &mut Candidates, pool: &PoolLoad) {
-        self.router
-            .with_admission(pool_name(self.pool()), |admission| {
-                if !admission.holds().is_empty() {
-                    candidates.judge_by(pool, admission.holds());
-                }
-            });
-    }
-
-    fn allow_trials(&self, candidates: &mut Candidates, pool: &PoolLoad, bounds: &SelectBounds) {
-        let draw = rand::rng().random_range(0.0..1.0);
-        let routers = self.router.routers();
-        self.router
-            .with_admission(pool_name(self.pool()), |admission| {
-                let trials = Trials {
-                    pool,
-                    holds: admission.holds(),
-                    routers,
-                };
-                candidates.allow_trials(&trials, bounds, draw);
-            });
-    }
-
     /// What a failure of the next attempt costs.
     pub(crate) fn risk(&self) -> RequestRisk {
         if self.may_repeat_next() {
--- a/crates/stacktack-direct/src/room.rs
+++ b/crates/stacktack-direct/src/room.rs
@@ -57,6 +57,12 @@
         self.with_admission(|admission, request| admission.limit(request, now))
     }
 
+    /// Time that a request holds a slot of its pool, in seconds; `None` before the first.
+    pub(crate) fn hold_seconds(&self) -> Option<f64> {
+        self.router
+            .with_admission(pool_name(self.pool()), |admission| admission.hold_seconds())
+    }
+
     /// Why the request is to be refused, if it is. What is under way always goes on;
     /// what was taken once needs room at a back end only.
     pub(crate) fn lacks_room(&self, choice: &Choice, under_way: bool) -> Option<RoomCause> {
--- a/crates/stacktack-direct/src/router.rs
+++ b/crates/stacktack-direct/src/router.rs
@@ -473,14 +473,6 @@
         act(shares.entry(pool.to_owned()).or_default())
     }
 
-    /// A request came whose home a back end is.
-    pub fn note_home_request(&self, back_end: &str) {
-        let now = self.now();
-        if let Some(known) = self.back_ends.borrow_mut().get_mut(back_end) {
-            known.load.on_home_request(now);
-        }
-    }
-
     /// Routers that send to the same pools, this one among them.
     pub fn routers(&self) -> usize {
         self.peers.borrow().alive() + 1
