Starts: one router or a few of each zone fetch the whole directory from another zone

Callers paid in bytes between zones: each router that started fetched the configuration (17 kB) and the directory (232 kB at 3,025 back ends) from whoever told it first, three of four from another zone, although peers of the own zone are preferred among those that are known to know. A router that starts now leaves a far peer to the others of its zone for a drawn moment, 0.8 s at most.

Test fails without the change: 60 of 60 routers ask the other zone.

--- a/crates/stacktack-core/src/direct/peers/mod.rs
+++ b/crates/stacktack-core/src/direct/peers/mod.rs
@@ -11,6 +11,7 @@
 
 pub mod knowledge_age;
 pub mod peer_news;
+pub mod zone_turn;
 
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -430,6 +431,20 @@
         seeds.choose(random).copied().or(heard)
     }
 
+    /// Whether a peer is known to stand in the own zone.
+    pub fn is_near(&self, address: SocketAddr) -> bool {
+        let peer = self.peers.get(&address);
+        peer.is_some_and(|peer| peer.zone == self.zone)
+    }
+
+    /// Routers that are likely to stand in the own zone, this one with them: as large a share of those
+    /// known as of those heard.
+    pub fn known_near(&self) -> usize {
+        let near = self.peers.values().filter(|peer| peer.zone == self.zone);
+        let share = (near.count() + 1) as f64 / (self.peers.len() + 1) as f64;
+        (self.known() as f64 * share).round() as usize
+    }
+
     /// Peers that were heard lately.
     pub fn alive(&self) -> usize {
         self.peers.len()
