Peers hand over the directory in a short form

Callers paid in bytes between zones and started late: an entry of the directory took 77 bytes, most of them labels that are the same for hundreds of back ends, in whole directories at each start (232 kB at 3,025 back ends) and in changes. Labels are told once now, births and revisions as distances. Layout 4 of the documents; a router of the release before is answered in layout 3, and asked in it after its 404.

Tests: nothing is lost in the short form, it takes less than half, both releases understand each other.

--- a/crates/stacktack-core/src/direct/back_ends/mod.rs
+++ b/crates/stacktack-core/src/direct/back_ends/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`directory`]: the entries of the directory.
 //! - [`back_end`]: what the router believes of one back end.
+//! - [`compact_delta`]: a short form of directory news, for the wire.
 //! - [`load`]: requests in flight at a back end.
 //! - [`slow_start`]: what the fleet sends a back end that is cold.
 //! - [`standing`]: how well a back end stands against its pool.
@@ -9,6 +10,7 @@
 //! - [`zone_drain`]: zones whose back ends get no requests.
 
 pub mod back_end;
+pub mod compact_delta;
 pub mod directory;
 pub mod load;
 pub mod slow_start;
--- a/crates/stacktack-core/tests/directory.rs
+++ b/crates/stacktack-core/tests/directory.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use stacktack_core::configuration::selector::Labels;
+use stacktack_core::direct::back_ends::compact_delta::CompactDelta;
 use stacktack_core::direct::back_ends::directory::{
     BackEndEntry, Departure, DirectoryChange, DirectoryDelta, LifeId, VanishedLife,
 };
@@ -184,3 +185,68 @@
     let vanished = change.vanished.iter().map(|life| life.back_end.as_str());
     assert_eq!(vanished.collect::<Vec<_>>(), ["b"]);
 }
+
+/// A directory of so many back ends in four zones, as a router reads it.
+fn large_directory(count: u64) -> DirectoryDelta {
+    let present = (0..count).map(|number| BackEndEntry {
+        id: format!(
+            "i-{:010x}",
+            number.wrapping_mul(0x9e37_79b9) & 0xff_ffff_ffff
+        ),
+        born: 1_782_960_000_000 + number * 7,
+        address: SocketAddr::from(([10, (number % 4) as u8, (number / 200) as u8, 7], 8586)),
+        labels: Labels::from([
+            ("service".to_owned(), "mallikan".to_owned()),
+            ("version".to_owned(), "v1".to_owned()),
+            ("zone".to_owned(), format!("zone-{}", number % 4)),
+        ]),
+        slots: 64,
+        leaving: number % 9 == 0,
+        cold_for: Duration::from_millis(number % 5 * 250),
+        revision: 2 + number,
+    });
+    DirectoryDelta {
+        revision: count + 1,
+        whole: true,
+        present: present.collect(),
+        gone: vec![departure("gone", 4)],
+    }
+}
+
+#[test]
+fn the_short_form_of_directory_news_loses_nothing() {
+    let mut delta = large_directory(50);
+    // Lives that do not tell their birth, and entries newer than what is decided.
+    delta.present[3].born = 0;
+    delta.present[4].revision = u64::MAX;
+    delta.revision = 5;
+    let short = CompactDelta::from(delta.clone());
+    let bytes = postcard::to_allocvec(&short).expect("serializes");
+    let read: CompactDelta = postcard::from_bytes(&bytes).expect("parses");
+    assert_eq!(read.into_delta(), Some(delta));
+}
+
+/// At each start of a fleet the whole directory went to each router, 232 kB of 3,025 back ends, of which most
+/// were the same few labels again and again.
+#[test]
+fn a_whole_directory_in_short_form_takes_less_than_half() {
+    let delta = large_directory(3000);
+    let full = postcard::to_allocvec(&delta).expect("serializes").len();
+    let short = postcard::to_allocvec(&CompactDelta::from(delta)).expect("serializes");
+    assert!(short.len() * 2 < full, "{} of {full} bytes", short.len());
+}
+
+#[test]
+fn an_entry_with_labels_that_are_not_told_is_refused() {
+    let one = DirectoryDelta {
+        present: vec![entry("a", 3)],
+        ..DirectoryDelta::default()
+    };
+    let mut bytes = postcard::to_allocvec(&CompactDelta::from(one)).expect("serializes");
+    // Revision, whole, birth, one list of no labels: now none.
+    assert_eq!(bytes[3..5], [1, 0]);
+    bytes[3] = 0;
+    bytes.remove(4);
+    let read: CompactDelta = postcard::from_bytes(&bytes).expect("parses");
+    assert_eq!(read.into_delta(), None);
+}
--- a/crates/stacktack-direct/src/knowledge.rs
+++ b/crates/stacktack-direct/src/knowledge.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use hyper::{Request, StatusCode};
 use serde::{Deserialize, Serialize};
+use stacktack_core::direct::back_ends::compact_delta::CompactDelta;
 use stacktack_core::direct::back_ends::directory::DirectoryDelta;
 use stacktack_core::direct::traffic::configuration_changes::ConfigurationChanges;
 use stacktack_core::direct::traffic::route::{TrafficConfiguration, TrafficDocument};
@@ -22,7 +23,10 @@
 
 /// Path of the documents that peers fetch, with the version of their layout: a router that
 /// reads another layout gets 404 and not rows that mean something else to it.
-const PATH: &str = "/knowledge/3";
+const PATH: &str = "/knowledge/4";
+
+/// The same with entries of the directory in full, for routers of the release before.
+const FULL_PATH: &str = "/knowledge/3";
 
 /// Names in its query.
 const VERSION: &str = "version";
@@ -41,6 +45,13 @@
     pub directory: Option<DirectoryDelta>,
 }
 
+/// [`Knowledge`] on the wire.
+#[derive(Debug, Serialize, Deserialize)]
+struct CompactKnowledge {
+    configuration: Option<Vec<u8>>,
+    directory: Option<CompactDelta>,
+}
+
 /// A configuration that is newer than what a peer has.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) enum NewerConfiguration {
@@ -86,15 +97,23 @@
 impl Known {
     /// Path and query that ask for more.
     pub fn path_and_query(self) -> String {
+        format!("{PATH}?{}", self.query())
+    }
+
+    /// The same for a router of the release before.
+    pub fn full_path_and_query(self) -> String {
+        format!("{FULL_PATH}?{}", self.query())
+    }
+
+    fn query(self) -> String {
         match self {
-            Known::Configuration(version) => format!("{PATH}?{VERSION}={version}"),
-            Known::Directory(revision) => format!("{PATH}?{REVISION}={revision}"),
-            Known::Routers => format!("{PATH}?{ROUTERS}=0"),
+            Known::Configuration(version) => format!("{VERSION}={version}"),
+            Known::Directory(revision) => format!("{REVISION}={revision}"),
+            Known::Routers => format!("{ROUTERS}=0"),
         }
     }
 
-    fn read(path_and_query: &str) -> Option<Self> {
-        let query = path_and_query.strip_prefix(PATH)?.strip_prefix('?')?;
+    fn read(query: &str) -> Option<Self> {
         let (name, number) = query.split_once('=')?;
         let number = number.parse().ok()?;
         match name {
@@ -109,6 +128,20 @@
 impl Knowledge {
     /// Reads a peer's answer.
     pub fn read(body: &[u8]) -> Result<Self, SourceError> {
+        let compact: CompactKnowledge =
+            postcard::from_bytes(body).map_err(|_| SourceError::Malformed)?;
+        let directory = compact.directory.map(CompactDelta::into_delta);
+        if directory == Some(None) {
+            return Err(SourceError::Malformed);
+        }
+        Ok(Knowledge {
+            configuration: compact.configuration,
+            directory: directory.flatten(),
+        })
+    }
+
+    /// Reads the answer of a router of the release before.
+    pub fn read_full(body: &[u8]) -> Result<Self, SourceError> {
         postcard::from_bytes(body).map_err(|_| SourceError::Malformed)
     }
 }
@@ -144,7 +177,15 @@
         known: Known,
         transfer: Rc<Transfer>,
     ) -> LocalBoxFuture<'_, Result<Knowledge, SourceError>> {
-        Box::pin(async move { Knowledge::read(&ask(peer, known, &transfer).await?) })
+        Box::pin(async move {
+            match ask(peer, &known.path_and_query(), &transfer).await {
+                Err(SourceError::Refused(status)) if status == StatusCode::NOT_FOUND.as_u16() => {
+                    let body = ask(peer, &known.full_path_and_query(), &transfer).await?;
+                    Knowledge::read_full(&body)
+                }
+                answer => Knowledge::read(&answer?),
+            }
+        })
     }
 
     fn routers(
@@ -152,20 +193,25 @@
         peer: SocketAddr,
         transfer: Rc<Transfer>,
     ) -> LocalBoxFuture<'_, Result<Vec<SocketAddr>, SourceError>> {
-        Box::pin(async move { read_routers(&ask(peer, Known::Routers, &transfer).await?) })
+        Box::pin(async move {
+            // Of one layout in both releases.
+            let path_and_query = Known::Routers.full_path_and_query();
+            read_routers(&ask(peer, &path_and_query, &transfer).await?)
+        })
     }
 }
 
 /// Asks a peer; its answer as it is.
-async fn ask(peer: SocketAddr, known: Known, transfer: &Transfer) -> Result<Bytes, SourceError> {
+async fn ask(
+    peer: SocketAddr,
+    path_and_query: &str,
+    transfer: &Transfer,
+) -> Result<Bytes, SourceError> {
     let mut connection = ClientConnection::open(peer, CONNECT_LIMIT)
         .await
         .map_err(|_| SourceError::Unreached)?;
     let mut request = Request::new(Bytes::new().into());
-    *request.uri_mut() = known
-        .path_and_query()
-        .parse()
-        .map_err(|_| SourceError::Malformed)?;
+    *request.uri_mut() = path_and_query.parse().map_err(|_| SourceError::Malformed)?;
     let host = hyper::header::HeaderValue::from_str(&peer.to_string());
     let host = host.map_err(|_| SourceError::Malformed)?;
     request.headers_mut().insert(hyper::header::HOST, host);
@@ -189,7 +235,10 @@
 /// Answers a peer with what it lacks; the query says what it has
 /// ([`Known::path_and_query`]).
 pub fn answer_peer(router: &Router, path_and_query: &str) -> (StatusCode, Bytes) {
-    let Some(known) = Known::read(path_and_query) else {
+    let asked = path_and_query.split_once('?');
+    let asked = asked.filter(|(path, _)| [PATH, FULL_PATH].contains(path));
+    let Some((path, known)) = asked.and_then(|(path, query)| Some((path, Known::read(query)?)))
+    else {
         return (StatusCode::NOT_FOUND, Bytes::new());
     };
     let knowledge = match known {
@@ -203,7 +252,13 @@
         },
         Known::Routers => return written(&router.peers.borrow().heard_routers()),
     };
-    written(&knowledge)
+    if path == FULL_PATH {
+        return written(&knowledge);
+    }
+    written(&CompactKnowledge {
+        configuration: knowledge.configuration,
+        directory: knowledge.directory.map(CompactDelta::from),
+    })
 }
 
 fn written<T: Serialize>(answer: &T) -> (StatusCode, Bytes) {
