Starts: a router hands whole documents to few at once, one of each other zone

Callers waited after all routers were killed: whoever knew the directory first was asked by all that started, these shared its link, and each had the document late and nothing to hand on meanwhile. A router hands over three at once to its own zone and one to each other zone now; the others are told 503 and ask another peer.

--- /dev/null
+++ b/crates/stacktack-core/src/direct/peers/hand_over.rs
@@ -0,0 +1,59 @@
+//! How many whole documents a router hands over at once.
+//!
+//! Many that ask at once would share its link, and each would have the document late and nothing to hand
+//! on meanwhile. Few at a time have it soon and serve the others; one for each other zone, since one copy
+//! serves a zone and bytes between zones are dear.
+
+use std::time::Duration;
+
+use crate::direct::peers::peer_news::ZoneHash;
+use crate::time::Time;
+
+/// Whole documents on their way to routers of the own zone, or of zones that are not known.
+const MOST_NEAR: usize = 3;
+
+/// The same to routers of one other zone.
+const MOST_FAR: usize = 1;
+
+/// Time after which one on its way makes room for another: whoever takes it may have stopped.
+const LONGEST: Duration = Duration::from_millis(1000);
+
+/// Whole documents on their way to peers.
+#[derive(Clone, Debug, Default)]
+pub struct HandOvers {
+    under_way: Vec<HandOver>,
+    begun: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct HandOver {
+    number: u64,
+    /// Another zone that it goes to.
+    far: Option<ZoneHash>,
+    since: Time,
+}
+
+impl HandOvers {
+    /// A peer asks, of another zone if `far` names one. Returns the number of the hand-over, to end it
+    /// by; `None` if there is no room now.
+    pub fn begin(&mut self, far: Option<ZoneHash>, now: Time) -> Option<u64> {
+        self.under_way.retain(|one| now.since(one.since) < LONGEST);
+        let alike = self.under_way.iter().filter(|one| one.far == far).count();
+        let most = if far.is_some() { MOST_FAR } else { MOST_NEAR };
+        if alike >= most {
+            return None;
+        }
+        self.begun += 1;
+        self.under_way.push(HandOver {
+            number: self.begun,
+            far,
+            since: now,
+        });
+        Some(self.begun)
+    }
+
+    /// A hand-over is over.
+    pub fn end(&mut self, number: u64) {
+        self.under_way.retain(|one| one.number != number);
+    }
+}
--- a/crates/stacktack-core/src/direct/peers/mod.rs
+++ b/crates/stacktack-core/src/direct/peers/mod.rs
@@ -9,12 +9,13 @@
 //! more fetches it from there. Nothing here has to arrive: a lost datagram only
 //! makes a belief a little older.
 
+pub mod hand_over;
 pub mod knowledge_age;
 pub mod peer_news;
 pub mod zone_turn;
 
 use std::collections::{HashMap, VecDeque};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use rand::seq::{IndexedRandom, IteratorRandom};
@@ -437,6 +438,14 @@
         peer.is_some_and(|peer| peer.zone == self.zone)
     }
 
+    /// The zone of the router at an address, if that is another one than the own.
+    pub fn other_zone_of(&self, address: IpAddr) -> Option<ZoneHash> {
+        let mut peers = self.peers.iter();
+        let peer = peers.find(|(peer, _)| peer.ip() == address);
+        let zone = peer.map(|(_, peer)| peer.zone);
+        zone.filter(|zone| *zone != self.zone)
+    }
+
     /// Routers that are likely to stand in the own zone, this one with them: as large a share of those
     /// known as of those heard.
     pub fn known_near(&self) -> usize {
--- /dev/null
+++ b/crates/stacktack-core/tests/hand_over.rs
@@ -0,0 +1,46 @@
+//! How many whole documents a router hands over at once.
+
+use stacktack_core::direct::peers::hand_over::HandOvers;
+use stacktack_core::direct::peers::peer_news::ZoneHash;
+use stacktack_core::time::Time;
+
+fn at(milliseconds: u64) -> Time {
+    Time(milliseconds * 1000)
+}
+
+fn zone(name: &str) -> Option<ZoneHash> {
+    Some(ZoneHash::of(name))
+}
+
+#[test]
+fn another_zone_gets_one_copy_at_a_time() {
+    let mut handed = HandOvers::default();
+    let first = handed.begin(zone("b"), at(0));
+    assert!(first.is_some());
+    assert_eq!(handed.begin(zone("b"), at(10)), None);
+    assert!(handed.begin(zone("c"), at(10)).is_some());
+    assert!(handed.begin(None, at(10)).is_some());
+    first.map(|number| handed.end(number));
+    assert!(handed.begin(zone("b"), at(20)).is_some());
+}
+
+/// 75 routers of a zone that started at once shared the link of the only one that knew: each had the whole
+/// directory after seconds.
+#[test]
+fn few_of_the_own_zone_share_the_link() {
+    let mut handed = HandOvers::default();
+    let begun = (0..75).filter_map(|_| handed.begin(None, at(0)));
+    let begun: Vec<u64> = begun.collect();
+    assert!((1..=4).contains(&begun.len()), "{begun:?}");
+    handed.end(begun[0]);
+    assert!(handed.begin(None, at(1)).is_some());
+    assert_eq!(handed.begin(None, at(1)), None);
+}
+
+#[test]
+fn a_peer_that_stopped_while_it_took_a_copy_makes_room() {
+    let mut handed = HandOvers::default();
+    assert!(handed.begin(zone("b"), at(0)).is_some());
+    assert_eq!(handed.begin(zone("b"), at(900)), None);
+    assert!(handed.begin(zone("b"), at(1100)).is_some());
+}
--- a/crates/stacktack-direct/src/app.rs
+++ b/crates/stacktack-direct/src/app.rs
@@ -18,12 +18,12 @@
     follow_configuration, follow_directory, follow_peers, follow_routers, follow_verdicts,
     follow_zone_drains, Dependency,
 };
-use crate::knowledge::{answer_peer, HttpPeers};
+use crate::knowledge::{hand_over, HttpPeers};
 use crate::metrics::DirectMetrics;
 use crate::news;
 use crate::ports::{ConfigurationSource, Directory, Protocol, VerdictStore};
 use crate::router::{Phase, Router};
-use crate::server::{accept_callers, listen, serve_small};
+use crate::server::{accept_callers, listen, serve_peers, serve_small};
 use crate::settings::{DirectSettings, SettingsSource};
 
 /// Time after a stop signal in which new connections are still served: whoever
@@ -121,7 +121,7 @@
     actix_rt::spawn(news::exchange(router.clone(), socket, store));
     actix_rt::spawn({
         let router = router.clone();
-        serve_small(knowledge, move |path| answer_peer(&router, path))
+        serve_peers(knowledge, move |peer, path| hand_over(&router, peer, path))
     });
     actix_rt::spawn(accept_callers(router.clone(), callers));
     actix_rt::spawn(serve_readiness(router.clone(), readiness));
--- a/crates/stacktack-direct/src/followers/peers.rs
+++ b/crates/stacktack-direct/src/followers/peers.rs
@@ -86,8 +86,13 @@
         }
     }
 
-    /// Has the store asked where peers know more and none of them tells it in time.
+    /// Has the store asked where peers know more and none of them tells it in time. A router that starts
+    /// asks it after a time of its own.
     fn note_behind(&mut self) {
+        if self.starts() {
+            self.behind_since = None;
+            return;
+        }
         let now = self.router.now();
         self.behind_since = self.whom_to_ask().and(self.behind_since.or(Some(now)));
         let (budget, look) = match self.subject {
--- a/crates/stacktack-direct/src/knowledge.rs
+++ b/crates/stacktack-direct/src/knowledge.rs
@@ -1,7 +1,8 @@
 //! What routers hand to each other: the configuration, and what changed in the
 //! directory. `followers` decides when to ask whom.
 
-use std::net::SocketAddr;
+use std::cell::RefCell;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 use stacktack_core::direct::back_ends::compact_delta::CompactDelta;
 use stacktack_core::direct::back_ends::directory::DirectoryDelta;
+use stacktack_core::direct::peers::hand_over::HandOvers;
 use stacktack_core::direct::traffic::configuration_changes::ConfigurationChanges;
 use stacktack_core::direct::traffic::route::{TrafficConfiguration, TrafficDocument};
 
@@ -105,6 +107,15 @@
         format!("{FULL_PATH}?{}", self.query())
     }
 
+    /// Whole documents of the kind that a router which starts asks for; `None` for one that asks for changes.
+    fn hand_overs(self, router: &Router) -> Option<&RefCell<HandOvers>> {
+        match self {
+            Known::Configuration(0) => Some(&router.configurations_handed),
+            Known::Directory(0) => Some(&router.directories_handed),
+            _ => None,
+        }
+    }
+
     fn query(self) -> String {
         match self {
             Known::Configuration(version) => format!("{VERSION}={version}"),
@@ -261,6 +272,48 @@
     })
 }
 
+/// A whole document on its way to a peer that starts; over when it is dropped.
+pub struct HandOver {
+    router: Rc<Router>,
+    known: Known,
+    number: u64,
+}
+
+impl Drop for HandOver {
+    fn drop(&mut self) {
+        if let Some(handed) = self.known.hand_overs(&self.router) {
+            handed.borrow_mut().end(self.number);
+        }
+    }
+}
+
+/// Answers a peer at an address as [`answer_peer`] does; one that starts and finds no room is to ask
+/// another one. The answer is on its way for as long as the last part is kept.
+pub fn hand_over(
+    router: &Rc<Router>,
+    peer: IpAddr,
+    path_and_query: &str,
+) -> (StatusCode, Bytes, Option<HandOver>) {
+    let query = path_and_query.split_once('?').map(|(_, query)| query);
+    let known = query.and_then(Known::read);
+    let handed = known.and_then(|known| Some((known, known.hand_overs(router)?)));
+    let Some((known, handed)) = handed else {
+        let (status, body) = answer_peer(router, path_and_query);
+        return (status, body, None);
+    };
+    let far = router.peers.borrow().other_zone_of(peer);
+    let Some(number) = handed.borrow_mut().begin(far, router.now()) else {
+        return (StatusCode::SERVICE_UNAVAILABLE, Bytes::new(), None);
+    };
+    let under_way = HandOver {
+        router: router.clone(),
+        known,
+        number,
+    };
+    let (status, body) = answer_peer(router, path_and_query);
+    (status, body, Some(under_way))
+}
+
 fn written<T: Serialize>(answer: &T) -> (StatusCode, Bytes) {
     match postcard::to_allocvec(answer) {
         Ok(body) => (StatusCode::OK, Bytes::from(body)),
--- a/crates/stacktack-direct/src/router.rs
+++ b/crates/stacktack-direct/src/router.rs
@@ -15,6 +15,7 @@
 use stacktack_core::direct::back_ends::zone_drain::{ZoneDrain, ZoneDrainNews, ZoneDrains};
 use stacktack_core::direct::back_ends::BackEnds;
 use stacktack_core::direct::choice::places::PrefixPlaces;
+use stacktack_core::direct::peers::hand_over::HandOvers;
 use stacktack_core::direct::peers::peer_news::{ShortId, ZoneHash};
 use stacktack_core::direct::peers::Peers;
 use stacktack_core::direct::quarantine::broken_runs::BrokenRuns;
@@ -82,6 +83,10 @@
     pools: RefCell<HashMap<String, KnownPool>>,
     /// The other routers.
     pub peers: RefCell<Peers>,
+    /// Whole directories on their way to peers that start.
+    pub(crate) directories_handed: RefCell<HandOvers>,
+    /// Whole configurations on their way to peers that start.
+    pub(crate) configurations_handed: RefCell<HandOvers>,
     /// Newest change of the directory that was heard.
     pub directory_changed: Cell<u64>,
     /// How new what is known of the sources is.
@@ -173,6 +178,8 @@
             admissions: RefCell::default(),
             pools: RefCell::default(),
             peers: RefCell::new(peers),
+            directories_handed: RefCell::default(),
+            configurations_handed: RefCell::default(),
             directory_changed: Cell::new(0),
             freshness: KnownFreshness::default(),
             push_due: Notify::new(),
--- a/crates/stacktack-direct/src/server.rs
+++ b/crates/stacktack-direct/src/server.rs
@@ -1,8 +1,8 @@
 //! Callers' connections: one task each.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -202,25 +202,41 @@
     let _ = phase.wait_for(|phase| *phase == Phase::Draining).await;
 }
 
-/// Serves small answers by path and query: readiness, metrics, knowledge.
+/// Serves small answers by path and query: readiness, metrics.
 pub async fn serve_small<F>(listener: TcpListener, answer: F)
 where
     F: Fn(&str) -> (StatusCode, Bytes) + 'static,
+{
+    serve_peers(listener, move |_, path| {
+        let (status, body) = answer(path);
+        (status, body, ())
+    })
+    .await;
+}
+
+/// Serves answers by the caller's address and by path and query. The last part of an answer is kept
+/// for as long as the connection that it goes over.
+pub async fn serve_peers<F, G>(listener: TcpListener, answer: F)
+where
+    F: Fn(IpAddr, &str) -> (StatusCode, Bytes, G) + 'static,
+    G: 'static,
 {
     let answer = Rc::new(answer);
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let Ok((stream, caller)) = listener.accept().await else {
             sleep(ACCEPT_PAUSE).await;
             continue;
         };
         let answer = answer.clone();
         actix_rt::spawn(async move {
-            let service = service_fn(move |request: hyper::Request<hyper::body::Incoming>| {
+            let kept = Rc::new(RefCell::new(None));
+            let service = service_fn(|request: hyper::Request<hyper::body::Incoming>| {
                 let path = request
                     .uri()
                     .path_and_query()
                     .map_or("/", |path| path.as_str());
-                let (status, body) = answer(path);
+                let (status, body, keep) = answer(caller.ip(), path);
+                kept.replace(Some(keep));
                 async move {
                     let mut response = Response::new(Full::new(body));
                     *response.status_mut() = status;
--- a/crates/stacktack-direct/tests/peer_layouts.rs
+++ b/crates/stacktack-direct/tests/peer_layouts.rs
@@ -15,7 +15,7 @@
 use stacktack_core::direct::back_ends::directory::DirectoryDelta;
 use stacktack_core::direct::sources::departure::Evidence;
 use stacktack_direct::followers::take_delta;
-use stacktack_direct::knowledge::{answer_peer, HttpPeers, Known, PeerSource};
+use stacktack_direct::knowledge::{answer_peer, hand_over, HttpPeers, Known, PeerSource};
 use stacktack_direct::router::Router;
 use stacktack_direct::transfer::Transfer;
 
@@ -97,3 +97,23 @@
     let (status, _) = answer_peer(&router(), "/knowledge/2?revision=0");
     assert_eq!(status, StatusCode::NOT_FOUND);
 }
+
+/// Each that starts asks for all; those that serve ask for changes, and are never turned away.
+#[test]
+fn one_that_starts_waits_for_room_and_others_do_not() {
+    let router = knowing();
+    let caller = "127.0.0.2".parse().expect("address");
+    let ask = |known: Known| hand_over(&router, caller, &known.path_and_query());
+    let begun: Vec<_> = (0..9).map(|_| ask(Known::Directory(0))).collect();
+    let served = begun
+        .iter()
+        .filter(|(status, ..)| *status == StatusCode::OK);
+    assert!((1..=4).contains(&served.count()));
+    let (status, ..) = ask(Known::Directory(8));
+    assert_eq!(status, StatusCode::OK);
+    let (status, ..) = ask(Known::Configuration(0));
+    assert_eq!(status, StatusCode::OK);
+    drop(begun);
+    let (status, ..) = ask(Known::Directory(0));
+    assert_eq!(status, StatusCode::OK);
+}
