--- a/crates/stacktack-core/tests/hand_over.rs
+++ b/crates/stacktack-core/tests/hand_over.rs
@@ -15,12 +15,11 @@
 #[test]
 fn another_zone_gets_one_copy_at_a_time() {
     let mut handed = HandOvers::default();
-    let first = handed.begin(zone("b"), at(0));
-    assert!(first.is_some());
+    let first = handed.begin(zone("b"), at(0)).expect("has room");
     assert_eq!(handed.begin(zone("b"), at(10)), None);
     assert!(handed.begin(zone("c"), at(10)).is_some());
     assert!(handed.begin(None, at(10)).is_some());
-    first.map(|number| handed.end(number));
+    handed.end(first);
     assert!(handed.begin(zone("b"), at(20)).is_some());
 }
 
