--- a/crates/stacktack-direct/src/followers/looks.rs
+++ b/crates/stacktack-direct/src/followers/looks.rs
@@ -93,6 +93,7 @@
             None => "watch",
         };
         router.metrics.count_store_call(source, cause);
+        log::info!(target: "store", "source={source} call={cause} wait_ms={}", waits.as_millis());
         self.watch.on_call(waits, router.now());
     }
 
