--- a/crates/stacktack-direct/src/router.rs
+++ b/crates/stacktack-direct/src/router.rs
@@ -16,6 +16,7 @@
 use stacktack_core::direct::back_ends::BackEnds;
 use stacktack_core::direct::choice::part_shares::PartShares;
 use stacktack_core::direct::choice::places::PrefixPlaces;
+use stacktack_core::direct::peers::hand_over::HandOvers;
 use stacktack_core::direct::peers::peer_news::{ShortId, ZoneHash};
 use stacktack_core::direct::peers::Peers;
 use stacktack_core::direct::quarantine::broken_runs::BrokenRuns;
@@ -96,6 +97,10 @@
     pools: RefCell<HashMap<String, KnownPool>>,
     /// The other routers.
     pub peers: RefCell<Peers>,
+    /// Whole directories on their way to peers that start.
+    pub(crate) directories_handed: RefCell<HandOvers>,
+    /// Whole configurations on their way to peers that start.
+    pub(crate) configurations_handed: RefCell<HandOvers>,
     /// Newest change of the directory that was heard.
     pub directory_changed: Cell<u64>,
     /// How new what is known of the sources is.
@@ -199,6 +204,8 @@
             part_shares: RefCell::default(),
             pools: RefCell::default(),
             peers: RefCell::new(peers),
+            directories_handed: RefCell::default(),
+            configurations_handed: RefCell::default(),
             directory_changed: Cell::new(0),
             freshness: KnownFreshness::default(),
             push_due: Notify::new(),
