--- a/crates/stacktack-direct/src/choice.rs
+++ b/crates/stacktack-direct/src/choice.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use rand::{Rng, RngExt};
+use rand::Rng;
 use stacktack_core::configuration::selector::matches_all;
 use stacktack_core::direct::admission::pool_load::PoolLoad;
 use stacktack_core::direct::admission::SlotLimit;
@@ -16,7 +16,6 @@
 use stacktack_core::direct::peers::peer_news::ShortId;
 
 use crate::exchange::Exchange;
-use crate::router::pool_name;
 
 /// Shared prompt tokens from which copying beats reading again.
 const FETCH_TOKENS: u32 = 256;
@@ -36,8 +35,6 @@
     pub load_age: Option<Duration>,
     /// Load of its pool; `None` where it is not known.
     pub pool_load: Option<PoolLoad>,
-    /// Places over which its part is spread.
-    pub places: usize,
 }
 
 impl Choice {
@@ -61,7 +58,6 @@
             standing: candidate.standing,
             load_age,
             pool_load: None,
-            places: 1,
         }
     }
 
@@ -99,10 +95,7 @@
             bounds = bounds.in_full_pool();
         }
         let selection = match self.caller.prompt.affinity_part() {
-            Some(part) => {
-                bounds = self.spread(part.id, candidates.list.len(), bounds);
-                select_by_affinity(&candidates.list, part.id, &bounds)
-            }
+            Some(part) => select_by_affinity(&candidates.list, part.id, &bounds),
             None => select_by_load(&candidates.list, rand::rng().next_u64(), &bounds),
         }?;
         let standing = candidates.list[selection.index].standing;
@@ -114,25 +107,9 @@
             standing,
             load_age,
             pool_load,
-            places: bounds.places,
         })
     }
 
-    /// Bounds for a request whose part is spread over as many places as its share of this router's requests
-    /// asks for; it begins at any of them.
-    fn spread(&self, part: u64, members: usize, bounds: SelectBounds) -> SelectBounds {
-        let is_first_try = self.tried.is_empty();
-        let now = self.router.now();
-        let pool = pool_name(self.pool());
-        let places = self.router.with_part_shares(pool, |shares| {
-            if is_first_try {
-                shares.note(part, now);
-            }
-            shares.places(part, members)
-        });
-        bounds.spread_over(places, rand::rng().random_range(0..places))
-    }
-
     /// What a failure of the next attempt costs.
     pub(crate) fn risk(&self) -> RequestRisk {
         if self.may_repeat_next() {
--- a/crates/stacktack-direct/src/sending.rs
+++ b/crates/stacktack-direct/src/sending.rs
@@ -97,7 +97,7 @@
         }
         log::info!(
             target: "choice",
-            "id={} part={:x} tokens={} back_end={} probation={on_probation} load={:.1} load_age_ms={} mean={:.1} pool_fill={} places={} rank={} standing={} fetch={} config={} directory={} directory_age_ms={} peers={}",
+            "id={} part={:x} tokens={} back_end={} probation={on_probation} load={:.1} load_age_ms={} mean={:.1} pool_fill={} rank={} standing={} fetch={} config={} directory={} directory_age_ms={} peers={}",
             self.id,
             self.caller.prompt.affinity_part().map_or(0, |part| part.id),
             self.caller.prompt.shared_tokens(),
@@ -106,7 +106,6 @@
             choice.load_age_text(),
             choice.selection.mean,
             choice.pool_fill_text(),
-            choice.places,
             choice.selection.rank,
             choice.standing.word(),
             fetch_from.map_or_else(|| "-".to_owned(), |holder| holder.to_string()),
