--- a/crates/stacktack-direct/src/stopping.rs
+++ b/crates/stacktack-direct/src/stopping.rs
@@ -100,8 +100,8 @@
         }
     }
 
-    /// Whether a request that was read whole is taken: always, unless the process may end before its
-    /// answer does.
+    /// Whether a request is taken, asked at its head and again when its body is whole: always, unless the
+    /// process may end before its answer does.
     pub(crate) fn may_take(&self, id: &str, route: &Route, limit: Time) -> bool {
         let Some(stop) = self.planned_stop.get() else {
             return true;
