--- a/crates/stacktack-core/src/direct/peers/mod.rs
+++ b/crates/stacktack-core/src/direct/peers/mod.rs
@@ -12,7 +12,6 @@
 pub mod hand_over;
 pub mod knowledge_age;
 pub mod peer_news;
-pub mod zone_turn;
 
 use std::collections::{HashMap, VecDeque};
 use std::net::{IpAddr, SocketAddr};
@@ -472,14 +471,6 @@
         zone.filter(|zone| *zone != self.zone)
     }
 
-    /// Routers that are likely to stand in the own zone, this one with them: as large a share of those
-    /// known as of those heard.
-    pub fn known_near(&self) -> usize {
-        let near = self.peers.values().filter(|peer| peer.zone == self.zone);
-        let share = (near.count() + 1) as f64 / (self.peers.len() + 1) as f64;
-        (self.known() as f64 * share).round() as usize
-    }
-
     /// Peers that were heard lately.
     pub fn alive(&self) -> usize {
         self.peers.len()
--- a/crates/stacktack-direct/src/followers/peers.rs
+++ b/crates/stacktack-direct/src/followers/peers.rs
@@ -5,9 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::RngExt;
 use stacktack_core::direct::back_ends::directory::DirectoryDelta;
-use stacktack_core::direct::peers::zone_turn::zone_turn;
 use stacktack_core::direct::sources::departure::Evidence;
 use stacktack_core::time::Time;
 use tokio::time::sleep;
@@ -28,15 +26,12 @@
 /// are followed apart: a large document on a narrow link must not hold up the news that
 /// a back end leaves.
 pub async fn follow_peers(router: Rc<Router>, source: Rc<dyn PeerSource>) {
-    let draw = rand::rng().random();
     let follower = |subject| PeerFollower {
         router: router.clone(),
         source: source.clone(),
         subject,
         failed: None,
         behind_since: None,
-        draw,
-        far_since: None,
     };
     tokio::join!(
         follower(Subject::Configuration).follow(),
@@ -60,10 +55,6 @@
     failed: Option<SocketAddr>,
     /// Since when peers have known more without telling it.
     behind_since: Option<Time>,
-    /// Draw for the turn of this router among those of its zone that start, even in 0..1.
-    draw: f64,
-    /// Since when only peers of other zones have known the document that a start needs.
-    far_since: Option<Time>,
 }
 
 impl PeerFollower {
@@ -74,12 +65,8 @@
                 () = router.peer_knows_more.notified() => {}
                 () = sleep(LOOK) => {}
             }
-            let peer = self.whom_to_ask();
-            if self.leaves_to_zone(peer) {
-                continue;
-            }
             self.note_behind();
-            if let Some(peer) = peer {
+            if let Some(peer) = self.whom_to_ask() {
                 self.fetch(peer).await;
             }
             self.note_behind();
@@ -111,20 +98,6 @@
         }
     }
 
-    /// Whether the peer to ask stands in another zone, and a router of the own one may soon know the
-    /// whole document that this router starts with.
-    fn leaves_to_zone(&mut self, peer: Option<SocketAddr>) -> bool {
-        let now = self.router.now();
-        let peers = self.router.peers.borrow();
-        let is_far = self.starts() && peer.is_some_and(|peer| !peers.is_near(peer));
-        if !is_far {
-            self.far_since = None;
-            return false;
-        }
-        let since = *self.far_since.get_or_insert(now);
-        now.since(since) < zone_turn(peers.known_near(), self.draw)
-    }
-
     /// Whether nothing is known of the subject.
     fn starts(&self) -> bool {
         match self.subject {
