--- a/crates/stacktack-direct/src/followers/directory.rs
+++ b/crates/stacktack-direct/src/followers/directory.rs
@@ -12,7 +12,7 @@
 use super::dependency::Dependency;
 use super::looks::{is_informed, wait_for_news, Looks};
 use super::pause::Pause;
-use super::start::Start;
+use super::start::{Start, StartProgress};
 use crate::calls::{CallEvent, Calls, EndedCall};
 use crate::freshness::SourceKnowledge;
 use crate::ports::{Directory, DirectoryNews, SourceError};
@@ -50,8 +50,8 @@
     let mut calls = Calls::starting_after(follower.start.pause());
     loop {
         match follower.event(&mut calls).await {
-            CallEvent::Due if follower.leaves_start_to_peers() => {
-                calls.plan(follower.more_time());
+            CallEvent::Due if follower.start_progress().is_left_to_peers(&follower.looks) => {
+                calls.plan(follower.start_progress().more_time());
             }
             CallEvent::Due if !follower.goes_on() => calls.plan(None),
             CallEvent::Due => follower.ask(directory.as_ref(), &mut calls),
@@ -116,17 +116,14 @@
         self.looks.goes_on(SOURCE, known)
     }
 
-    /// Whether a peer has told, or is telling, a router that starts what it would ask the store.
-    fn leaves_start_to_peers(&self) -> bool {
-        let is_told = self.known().as_of().is_some();
-        let starts = !self.looks.has_asked() && !self.looks.is_look();
-        starts && (is_told || self.more_time().is_some())
-    }
-
-    fn more_time(&self) -> Option<Duration> {
-        let is_told = self.known().as_of().is_some();
-        let more = self.start.more_time(&self.router, self.peer_knows_more());
-        more.filter(|_| !is_told || self.peer_knows_more())
+    /// How far peers have come with telling a router that starts.
+    fn start_progress(&self) -> StartProgress<'_> {
+        StartProgress {
+            start: &self.start,
+            router: &self.router,
+            is_told: self.known().as_of().is_some(),
+            peer_knows_more: self.peer_knows_more(),
+        }
     }
 
     fn peer_knows_more(&self) -> bool {
--- a/crates/stacktack-direct/src/followers/start.rs
+++ b/crates/stacktack-direct/src/followers/start.rs
@@ -9,6 +9,7 @@
 use rand::RngExt;
 use tokio::time::Instant;
 
+use super::looks::Looks;
 use crate::router::Router;
 
 /// Longest time for which a router that starts waits to hear from a peer ...
@@ -58,7 +59,7 @@
 
     /// How much longer the first call is put off: while a peer that knows more is asked, and while
     /// others that start too may learn it first.
-    pub(super) fn more_time(&self, router: &Router, peer_knows_more: bool) -> Option<Duration> {
+    fn more_time(&self, router: &Router, peer_knows_more: bool) -> Option<Duration> {
         let since = self.begun.elapsed();
         if peer_knows_more && since < LONGEST_FETCH {
             return Some(LOOK);
@@ -71,3 +72,27 @@
         (!left.is_zero()).then_some(left.min(LOOK))
     }
 }
+
+/// How far peers have come with telling a router that starts what one source holds.
+pub(super) struct StartProgress<'a> {
+    pub(super) start: &'a Start,
+    pub(super) router: &'a Router,
+    /// Whether something was told.
+    pub(super) is_told: bool,
+    /// Whether some peer knows more than was told.
+    pub(super) peer_knows_more: bool,
+}
+
+impl StartProgress<'_> {
+    /// Whether a peer has told, or is telling, what the first call would ask the store.
+    pub(super) fn is_left_to_peers(&self, looks: &Looks) -> bool {
+        let starts = !looks.has_asked() && !looks.is_look();
+        starts && (self.is_told || self.more_time().is_some())
+    }
+
+    /// How much longer the first call is put off; what was told ends that, unless a peer knows more.
+    pub(super) fn more_time(&self) -> Option<Duration> {
+        let more = self.start.more_time(self.router, self.peer_knows_more);
+        more.filter(|_| !self.is_told || self.peer_knows_more)
+    }
+}
