--- a/crates/stacktack-direct/src/stopping.rs
+++ b/crates/stacktack-direct/src/stopping.rs
@@ -107,10 +107,7 @@
             return true;
         };
         let now = self.now();
-        let request = StopRequest {
-            limit,
-            longest_run: self.longest_run(&route.name),
-        };
+        let request = self.stop_request(route, limit);
         let decision = stop.decide(&request, now);
         log::info!(
             target: "stop",
@@ -139,13 +136,17 @@
 
     /// Whether the answer to another attempt of a request that was taken has time to become whole.
     pub(crate) fn has_time_for_another(&self, route: &Route, limit: Time) -> bool {
-        let request = StopRequest {
+        let Some(stop) = self.planned_stop.get() else {
+            return true;
+        };
+        stop.may_try_again(&self.stop_request(route, limit), self.now())
+    }
+
+    fn stop_request(&self, route: &Route, limit: Time) -> StopRequest {
+        StopRequest {
             limit,
             longest_run: self.longest_run(&route.name),
-        };
-        let now = self.now();
-        let stop = self.planned_stop.get();
-        stop.is_none_or(|stop| stop.may_try_again(&request, now))
+        }
     }
 
     /// Waits until a request is answered at the latest: at its limit, or before the process ends.
