A silent stream is left only for a repeat that was granted

Callers saw: a resumable stream broke off after its back end had said nothing for 0.8 s, though the back end went on with it. Routers that had just started have no repeats to give, so that each pause of a slow prompt there lost an answer.

Cause: the attempt was ended first, and the ledger, the retry budget and the pool were asked for a repeat afterwards.

Now the repeat is granted first (ledger, treatment, a back end with room, budget); else the silence is logged, the stream goes on and is asked about again after the next silence.

--- a/crates/stacktack-direct/src/admission.rs
+++ b/crates/stacktack-direct/src/admission.rs
@@ -129,6 +129,7 @@
         look: None,
         ledger: AttemptLedger::default(),
         in_doubt: false,
+        is_repeat_granted: false,
         tried: Vec::new(),
         admitted: false,
         returned: false,
--- a/crates/stacktack-direct/src/answer.rs
+++ b/crates/stacktack-direct/src/answer.rs
@@ -3,7 +3,7 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::task::{ready, Context, Poll};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
@@ -14,12 +14,12 @@
 use stacktack_core::direct::request::events::EventSplitter;
 use stacktack_core::direct::traffic::route::RouteKind;
 use thiserror::Error;
-use tokio::time::{sleep_until, Sleep};
+use tokio::time::{sleep_until, Instant, Sleep};
 
 use crate::attempt::Attempt;
 use crate::exchange::{Exchange, Outcome};
 
-/// Time without bytes after which a resumable stream is continued elsewhere.
+/// Time without bytes after which a resumable stream is continued elsewhere, if it may be.
 const STALL: Duration = Duration::from_millis(800);
 
 /// Why an answer broke off midway; the caller's connection is closed.
@@ -139,7 +139,7 @@
             splitter: resumable.then(EventSplitter::default),
             status,
             limit,
-            stall: resumable.then(|| Box::pin(sleep_until((Instant::now() + STALL).into()))),
+            stall: resumable.then(|| Box::pin(sleep_until(next_stall()))),
         }
     }
 
@@ -207,7 +207,9 @@
             return Poll::Ready(Step::Data(std::mem::take(&mut self.begun)));
         }
         let Source::Sending {
-            incoming, attempt, ..
+            exchange,
+            incoming,
+            attempt,
         } = &mut self.source
         else {
             return Poll::Ready(Step::End);
@@ -234,8 +236,11 @@
             return Poll::Ready(Step::TimeOver);
         }
         if let Some(stall) = &mut self.stall {
-            if stall.as_mut().poll(context).is_ready() {
-                return Poll::Ready(Step::Broken(AttemptFailure::Silent));
+            while stall.as_mut().poll(context).is_ready() {
+                if exchange.leaves_silent_attempt() {
+                    return Poll::Ready(Step::Broken(AttemptFailure::Silent));
+                }
+                stall.as_mut().reset(next_stall());
             }
         }
         Poll::Pending
@@ -243,7 +248,7 @@
 
     fn reset_stall(&mut self) {
         if let Some(stall) = &mut self.stall {
-            stall.as_mut().reset((Instant::now() + STALL).into());
+            stall.as_mut().reset(next_stall());
         }
     }
 
@@ -303,3 +308,8 @@
         }
     }
 }
+
+/// When a stream that says nothing from now on is silent for too long.
+fn next_stall() -> Instant {
+    Instant::now() + STALL
+}
--- a/crates/stacktack-direct/src/exchange.rs
+++ b/crates/stacktack-direct/src/exchange.rs
@@ -86,6 +86,8 @@
     pub(crate) look: Option<LookEnd>,
     /// Whether an attempt is under way that may run.
     pub(crate) in_doubt: bool,
+    /// Whether the budget granted a repeat before the attempt that it follows was left.
+    pub(crate) is_repeat_granted: bool,
     pub(crate) tried: Vec<String>,
     /// Whether its pool took it.
     pub(crate) admitted: bool,
@@ -264,7 +266,8 @@
         if self.ledger.has_arrived() && self.treatment() >= Treatment::Probation {
             return false;
         }
-        !self.ledger.has_arrived() || self.router.take_retry(&self.id, self.pool())
+        let is_granted = std::mem::take(&mut self.is_repeat_granted);
+        !self.ledger.has_arrived() || is_granted || self.router.take_retry(&self.id, self.pool())
     }
 
     /// Streams are passed on at once, other answers when they are whole.
--- a/crates/stacktack-direct/src/lib.rs
+++ b/crates/stacktack-direct/src/lib.rs
@@ -46,6 +46,7 @@
 mod sending;
 pub mod server;
 pub mod settings;
+mod silence;
 pub mod source_error;
 pub mod stopping;
 mod suspension;
