A late answer is awaited where no repeat of its request is granted

Callers saw: a request that may be repeated ended with 502 ("may have run") after twice its objective without the head of an answer, though its router had no repeat to give or nobody else to send it to. Its back end answered a moment later, to nobody.

Cause: the same as for silent streams: the attempt was left first and the repeat asked for afterwards. Now the repeat is granted first, with time left before a planned end, and the attempt is asked about again after twice the objective; at the request's own limit it ends as before.

--- a/crates/stacktack-direct/src/answer.rs
+++ b/crates/stacktack-direct/src/answer.rs
@@ -18,6 +18,7 @@
 
 use crate::attempt::Attempt;
 use crate::exchange::{Exchange, Outcome};
+use crate::silence::AnswerProgress;
 
 /// Time without bytes after which a resumable stream is continued elsewhere, if it may be.
 const STALL: Duration = Duration::from_millis(800);
@@ -237,7 +238,7 @@
         }
         if let Some(stall) = &mut self.stall {
             while stall.as_mut().poll(context).is_ready() {
-                if exchange.leaves_silent_attempt() {
+                if exchange.leaves_silent_attempt(AnswerProgress::Begun) {
                     return Poll::Ready(Step::Broken(AttemptFailure::Silent));
                 }
                 stall.as_mut().reset(next_stall());
--- a/crates/stacktack-direct/src/exchange.rs
+++ b/crates/stacktack-direct/src/exchange.rs
@@ -224,7 +224,7 @@
     }
 
     /// Whether the answer to another attempt has time to become whole before the process ends.
-    fn has_time_for_another(&mut self) -> bool {
+    pub(crate) fn has_time_for_another(&mut self) -> bool {
         self.ends_too_soon = !self.router.has_time_for_another(&self.route, self.limit);
         if self.ends_too_soon {
             log::info!(target: "stop", "id={} another_attempt=false sends={}", self.id, self.ledger.sends);
--- a/crates/stacktack-direct/src/sending.rs
+++ b/crates/stacktack-direct/src/sending.rs
@@ -1,6 +1,8 @@
 //! One attempt of a request: choice, connection, request, head of the answer.
 
+use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -17,6 +19,7 @@
 use crate::exchange::Exchange;
 use crate::ports::ForwardOrder;
 use crate::router::pool_name;
+use crate::silence::AnswerProgress;
 
 /// Longest time for a connection to a back end to come up.
 const CONNECT_LIMIT: Duration = Duration::from_millis(150);
@@ -24,7 +27,7 @@
 /// Time in which an overloaded back end turns a new connection away.
 const TURN_AWAY: Duration = Duration::from_millis(3);
 
-/// Objectives after which an attempt without an answer is given up, where the
+/// Objectives after which an attempt without an answer is left for another one, where the
 /// request may be repeated.
 const SILENCE_OBJECTIVES: u32 = 2;
 
@@ -134,7 +137,11 @@
         } else {
             None
         };
-        let patience = self.attempt_patience();
+        let progress = if resume_after.is_some() {
+            AnswerProgress::Begun
+        } else {
+            AnswerProgress::NotBegun
+        };
         loop {
             let (mut connection, rested) = match resting.take() {
                 Some(connection) => (connection, true),
@@ -155,20 +162,20 @@
             let request = self.back_end_request(attempt, resume_after, fetch_from);
             self.in_doubt = true;
             attempt.on_write();
-            let sent = timeout(patience, connection.send(request)).await;
+            let sent = self.await_head(connection.send(request), progress).await;
             match sent {
-                Ok(Ok(response)) => {
+                Ok(response) => {
                     attempt.connection = Some(connection);
                     return Ok(response);
                 }
-                Ok(Err(SendError::NotWritten)) => {
+                Err(SendError::NotWritten) => {
                     self.in_doubt = false;
                     if !rested {
                         return Err(AttemptFailure::Unreached);
                     }
                 }
-                Ok(Err(SendError::Broken(_))) => return Err(AttemptFailure::Broken),
-                Ok(Err(SendError::Silent)) | Err(_) => return Err(AttemptFailure::Silent),
+                Err(SendError::Broken(_)) => return Err(AttemptFailure::Broken),
+                Err(SendError::Silent) => return Err(AttemptFailure::Silent),
             }
         }
     }
@@ -192,8 +199,26 @@
         next.may_send_again(self.route.kind, self.route.max_attempts)
     }
 
-    /// Time that an attempt is given for the head of its answer.
-    fn attempt_patience(&self) -> Duration {
+    /// Waits for the head of an answer, until that takes so long that the attempt is left for another
+    /// one or the request's time is over.
+    async fn await_head(
+        &mut self,
+        head: impl Future<Output = Result<Response<Incoming>, SendError>>,
+        progress: AnswerProgress,
+    ) -> Result<Response<Incoming>, SendError> {
+        let mut head = pin!(head);
+        loop {
+            if let Ok(ended) = timeout(self.head_patience(), &mut head).await {
+                return ended;
+            }
+            if self.remaining().is_zero() || self.leaves_silent_attempt(progress) {
+                return Err(SendError::Silent);
+            }
+        }
+    }
+
+    /// Time without the head of an answer after which its attempt may be left.
+    fn head_patience(&self) -> Duration {
         let remaining = self.remaining();
         if self.may_repeat_next() {
             remaining.min(self.route.objective * SILENCE_OBJECTIVES)
--- a/crates/stacktack-direct/src/silence.rs
+++ b/crates/stacktack-direct/src/silence.rs
@@ -7,13 +7,23 @@
 
 use crate::exchange::Exchange;
 
+/// Whether the caller has a part of the answer already.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AnswerProgress {
+    /// The head of the answer is awaited.
+    NotBegun,
+    /// A stream is under way.
+    Begun,
+}
+
 impl Exchange {
-    /// Whether the silent attempt whose stream is under way is left. If so, a repeat is granted, which the
+    /// Whether the silent attempt that is under way is left. If so, a repeat is granted, which the
     /// next attempt uses.
-    pub(crate) fn leaves_silent_attempt(&mut self) -> bool {
+    pub(crate) fn leaves_silent_attempt(&mut self, progress: AnswerProgress) -> bool {
         let may_be_repeated = self.may_repeat_next() && self.treatment() < Treatment::Probation;
         let leaves = may_be_repeated
-            && self.may_go_elsewhere()
+            && self.has_time_elsewhere(progress)
+            && self.has_room_elsewhere(progress)
             && self.router.take_retry(&self.id, self.pool());
         self.is_repeat_granted = leaves;
         log::info!(
@@ -26,9 +36,17 @@
         leaves
     }
 
+    /// Whether another attempt has time before the process ends. A stream under way has nothing to
+    /// lose by it.
+    fn has_time_elsewhere(&mut self, progress: AnswerProgress) -> bool {
+        progress == AnswerProgress::Begun || self.has_time_for_another()
+    }
+
     /// Whether a back end that was not tried has room.
-    fn may_go_elsewhere(&self) -> bool {
-        let choice = self.select(None);
-        choice.is_some_and(|choice| self.lacks_room(&choice, true).is_none())
+    fn has_room_elsewhere(&self, progress: AnswerProgress) -> bool {
+        let is_under_way = progress == AnswerProgress::Begun || self.caller.resume_after.is_some();
+        let limit = (!is_under_way).then(|| self.slot_limit());
+        let choice = self.select(limit);
+        choice.is_some_and(|choice| self.lacks_room(&choice, is_under_way).is_none())
     }
 }
