A silent stream goes on where it is not continued elsewhere, and is not left for a back end as silent

Callers saw a stream break off though its back end went on with it, in three more ways: - the repeat was granted, but the other back end rejected it, did not come up, or had no room (the old attempt was closed first). Now the silent attempt is kept until another back end has begun to answer, and goes on if none does; - the other back end was as silent (all of a pool pause): a back end that is passed by is no reason to leave; - room was asked for by the limit of a first attempt, the repeat then fell under the lower limit of repeats. A grant that reached nobody is kept for the next try: one repeat took two out of the budget.

--- a/crates/stacktack-direct/src/answer.rs
+++ b/crates/stacktack-direct/src/answer.rs
@@ -94,7 +94,11 @@
         attempt: Attempt,
     },
     /// Another back end is asked to continue.
-    Resuming(LocalBoxFuture<'static, Resumed>),
+    Resuming {
+        resumed: LocalBoxFuture<'static, Resumed>,
+        /// The attempt that fell silent: it goes on if nobody else continues.
+        silent: Option<(Incoming, Attempt)>,
+    },
     /// Nothing more comes.
     Ended,
 }
@@ -154,8 +158,8 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, AnswerError>>> {
         loop {
-            if let Source::Resuming(future) = &mut self.source {
-                let (mut exchange, resumed) = match future.poll_unpin(context) {
+            if let Source::Resuming { resumed, silent } = &mut self.source {
+                let (exchange, resumed) = match resumed.poll_unpin(context) {
                     Poll::Ready(resumed) => resumed,
                     Poll::Pending => {
                         ready!(self.limit.as_mut().poll(context));
@@ -163,20 +167,9 @@
                         return Poll::Ready(Some(Err(AnswerError::TimeOver)));
                     }
                 };
-                match resumed {
-                    Some((incoming, attempt)) => {
-                        self.source = Source::Sending {
-                            exchange,
-                            incoming,
-                            attempt,
-                        };
-                        self.reset_stall();
-                    }
-                    None => {
-                        exchange.outcome = Outcome::BrokenOff;
-                        self.source = Source::Ended;
-                        return Poll::Ready(Some(Err(AnswerError::BrokenOff)));
-                    }
+                let silent = silent.take();
+                if !self.go_on(exchange, resumed, silent) {
+                    return Poll::Ready(Some(Err(AnswerError::BrokenOff)));
                 }
             }
             match ready!(self.poll_step(context)) {
@@ -203,6 +196,34 @@
         }
     }
 
+    /// Goes on with the attempt that continues the stream, else with the one that fell silent; false if
+    /// there is neither.
+    fn go_on(
+        &mut self,
+        mut exchange: Box<Exchange>,
+        resumed: Option<(Incoming, Attempt)>,
+        silent: Option<(Incoming, Attempt)>,
+    ) -> bool {
+        if let (Some(splitter), Some(_)) = (&mut self.splitter, &resumed) {
+            splitter.discard();
+        }
+        if let (None, Some((_, attempt))) = (&resumed, &silent) {
+            exchange.note_awaited_again(&attempt.back_end);
+        }
+        let Some((incoming, attempt)) = resumed.or(silent) else {
+            exchange.outcome = Outcome::BrokenOff;
+            self.source = Source::Ended;
+            return false;
+        };
+        self.source = Source::Sending {
+            exchange,
+            incoming,
+            attempt,
+        };
+        self.reset_stall();
+        true
+    }
+
     fn poll_step(&mut self, context: &mut Context<'_>) -> Poll<Step> {
         if !self.begun.is_empty() {
             return Poll::Ready(Step::Data(std::mem::take(&mut self.begun)));
@@ -257,33 +278,34 @@
     fn try_resume(&mut self, failure: AttemptFailure) -> bool {
         let Source::Sending {
             mut exchange,
+            incoming,
             attempt,
-            ..
         } = std::mem::replace(&mut self.source, Source::Ended)
         else {
             return false;
         };
-        if failure == AttemptFailure::Silent {
+        let is_silent = failure == AttemptFailure::Silent;
+        if is_silent {
             attempt.on_unreachable();
         } else {
             attempt.on_failure();
         }
         exchange.look = exchange.note_broken_run(&attempt, failure);
-        drop(attempt);
-        let Some(splitter) = &mut self.splitter else {
+        let silent = is_silent.then_some((incoming, attempt));
+        let Some(splitter) = &self.splitter else {
             exchange.note_failure(failure, "-");
             exchange.outcome = Outcome::BrokenOff;
             return false;
         };
-        splitter.discard();
         let after = splitter.last_id().map(str::to_owned);
-        self.source = Source::Resuming(
-            async move {
-                let resumed = exchange.resume(after.as_deref(), failure).await;
-                (exchange, resumed)
-            }
-            .boxed_local(),
-        );
+        let resumed = async move {
+            let resumed = exchange.resume(after.as_deref(), failure).await;
+            (exchange, resumed)
+        };
+        self.source = Source::Resuming {
+            resumed: resumed.boxed_local(),
+            silent,
+        };
         true
     }
 
--- a/crates/stacktack-direct/src/exchange.rs
+++ b/crates/stacktack-direct/src/exchange.rs
@@ -86,7 +86,7 @@
     pub(crate) look: Option<LookEnd>,
     /// Whether an attempt is under way that may run.
     pub(crate) in_doubt: bool,
-    /// Whether the budget granted a repeat before the attempt that it follows was left.
+    /// Whether the retry budget granted a repeat that was not written anywhere yet.
     pub(crate) is_repeat_granted: bool,
     pub(crate) tried: Vec<String>,
     /// Whether its pool took it.
@@ -266,8 +266,13 @@
         if self.ledger.has_arrived() && self.treatment() >= Treatment::Probation {
             return false;
         }
-        let is_granted = std::mem::take(&mut self.is_repeat_granted);
-        !self.ledger.has_arrived() || is_granted || self.router.take_retry(&self.id, self.pool())
+        if !self.ledger.has_arrived() {
+            return true;
+        }
+        if !self.is_repeat_granted {
+            self.is_repeat_granted = self.router.take_retry(&self.id, self.pool());
+        }
+        self.is_repeat_granted
     }
 
     /// Streams are passed on at once, other answers when they are whole.
--- a/crates/stacktack-direct/src/room.rs
+++ b/crates/stacktack-direct/src/room.rs
@@ -37,6 +37,14 @@
     fn with_admission<T>(
         &self,
         act: impl FnOnce(&mut PoolAdmission, &AdmissionRequest<'_>) -> T,
+    ) -> T {
+        self.with_admission_of(self.ledger.sends > 0, act)
+    }
+
+    fn with_admission_of<T>(
+        &self,
+        repeated: bool,
+        act: impl FnOnce(&mut PoolAdmission, &AdmissionRequest<'_>) -> T,
     ) -> T {
         let patience = self.caller.patience.unwrap_or(self.route.timeout);
         let request = AdmissionRequest {
@@ -45,7 +53,7 @@
             objective: self.route.objective,
             announced_patience: patience,
             patience: patience.saturating_sub(self.elapsed()),
-            repeated: self.ledger.sends > 0,
+            repeated,
         };
         self.router
             .with_admission(pool_name(self.pool()), |admission| act(admission, &request))
@@ -57,6 +65,12 @@
         self.with_admission(|admission, request| admission.limit(request, now))
     }
 
+    /// The same limit for a repeat, while the attempt before it is still under way.
+    pub(crate) fn repeat_slot_limit(&self) -> SlotLimit {
+        let now = self.router.now();
+        self.with_admission_of(true, |admission, request| admission.limit(request, now))
+    }
+
     /// Time that a request holds a slot of its pool, in seconds; `None` before the first.
     pub(crate) fn hold_seconds(&self) -> Option<f64> {
         self.router
--- a/crates/stacktack-direct/src/sending.rs
+++ b/crates/stacktack-direct/src/sending.rs
@@ -161,6 +161,7 @@
             }
             let request = self.back_end_request(attempt, resume_after, fetch_from);
             self.in_doubt = true;
+            self.is_repeat_granted = false;
             attempt.on_write();
             let sent = self.await_head(connection.send(request), progress).await;
             match sent {
--- a/crates/stacktack-direct/src/silence.rs
+++ b/crates/stacktack-direct/src/silence.rs
@@ -3,6 +3,7 @@
 //! A pause is no end: an attempt that is left although nobody may go on with the request loses an
 //! answer that might have come. So the repeat is granted first.
 
+use stacktack_core::direct::back_ends::standing::Standing;
 use stacktack_core::direct::quarantine::record::Treatment;
 
 use crate::exchange::Exchange;
@@ -36,17 +37,30 @@
         leaves
     }
 
-    /// Whether another attempt has time before the process ends. A stream under way has nothing to
-    /// lose by it.
+    /// Nobody continues the stream: the silent attempt is waited for again.
+    pub(crate) fn note_awaited_again(&self, back_end: &str) {
+        log::info!(
+            target: "attempt",
+            "id={} back_end={back_end} silent=true awaited_again=true sends={} ms={}",
+            self.id,
+            self.ledger.sends,
+            self.elapsed().as_millis(),
+        );
+    }
+
+    /// Whether another attempt has time before the process ends. A stream under way loses nothing by
+    /// one that has not.
     fn has_time_elsewhere(&mut self, progress: AnswerProgress) -> bool {
         progress == AnswerProgress::Begun || self.has_time_for_another()
     }
 
-    /// Whether a back end that was not tried has room.
+    /// Whether a back end that was not tried has room, and is not as silent itself.
     fn has_room_elsewhere(&self, progress: AnswerProgress) -> bool {
         let is_under_way = progress == AnswerProgress::Begun || self.caller.resume_after.is_some();
-        let limit = (!is_under_way).then(|| self.slot_limit());
+        let limit = (!is_under_way).then(|| self.repeat_slot_limit());
         let choice = self.select(limit);
-        choice.is_some_and(|choice| self.lacks_room(&choice, is_under_way).is_none())
+        choice.is_some_and(|choice| {
+            choice.standing < Standing::Ejected && self.lacks_room(&choice, is_under_way).is_none()
+        })
     }
 }
