Planned stops: a request whose body still comes keeps the process

Callers saw: a request that a stopping router had taken at its head, whose body came slowly, was closed unanswered: the process counted requests only once their bodies were whole, and ended 2.8 s after the signal with nothing else under way.

Bodies that are being read are counted and waited for, within the grace as before. The test failed before (no answer; 200 now).

--- a/crates/stacktack-direct/src/admission.rs
+++ b/crates/stacktack-direct/src/admission.rs
@@ -42,6 +42,22 @@
     version: u64,
 }
 
+/// A request whose body is being read; a process that stops waits for it.
+struct Arriving(Rc<Router>);
+
+impl Arriving {
+    fn begin(router: Rc<Router>) -> Self {
+        router.arriving.set(router.arriving.get() + 1);
+        Arriving(router)
+    }
+}
+
+impl Drop for Arriving {
+    fn drop(&mut self) {
+        self.0.arriving.set(self.0.arriving.get() - 1);
+    }
+}
+
 async fn admit(
     router: &Rc<Router>,
     started: Time,
@@ -75,6 +91,7 @@
     if !router.may_take(&id_text, &route, limit) {
         return Err(refused(RefusalKind::Stopping));
     }
+    let arriving = Arriving::begin(router.clone());
     let limited = Limited::new(body, configuration.limits.body_bytes);
     let collected = tokio::select! {
         biased;
@@ -109,6 +126,7 @@
         router.count_request(&route.targets[target].back_ends);
     }
     router.exchanges.set(router.exchanges.get() + 1);
+    drop(arriving);
     let taken_as_last = router.note_taken_as_last();
     let run = router.begin_run(&route.name);
     Ok(Box::new(Exchange {
--- a/crates/stacktack-direct/src/router.rs
+++ b/crates/stacktack-direct/src/router.rs
@@ -134,6 +134,8 @@
     pub(crate) planned_stop: Cell<Option<PlannedStop>>,
     /// Requests under way that were taken while nobody else served, after callers had looked away.
     pub(crate) taken_as_last: Cell<usize>,
+    /// Requests whose bodies are being read.
+    pub(crate) arriving: Cell<usize>,
     /// Callers' connections whose last answer may not have left yet.
     pub(crate) answering: Cell<usize>,
     /// How long requests took of late, by route.
@@ -221,6 +223,7 @@
             phase: watch::Sender::new(Phase::Serving),
             planned_stop: Cell::default(),
             taken_as_last: Cell::new(0),
+            arriving: Cell::new(0),
             answering: Cell::new(0),
             run_times: RefCell::default(),
             store_lost: Cell::new(false),
--- a/crates/stacktack-direct/src/stopping.rs
+++ b/crates/stacktack-direct/src/stopping.rs
@@ -47,10 +47,11 @@
     router.phase.send_replace(Phase::Ended);
     log::info!(
         target: "router",
-        "stopped after_ms={} open_connections={} cut={} unread={}",
+        "stopped after_ms={} open_connections={} cut={} unfinished={} unread={}",
         stop.age(router.now()).as_millis(),
         router.open_connections.get(),
         router.exchanges.get(),
+        router.arriving.get(),
         router.answering.get(),
     );
 }
@@ -66,12 +67,13 @@
     }
 }
 
-/// Waits for answers under way, until their last bytes have left.
+/// Waits for requests that arrive and for answers under way, until their last bytes have left.
 async fn drain(router: &Router) {
     let mut quiet_since = None;
     while router.open_connections.get() > 0 && router.now() < router.stop_end() {
         router.poll_in_stop().await;
-        quiet_since = match router.exchanges.get() + router.answering.get() {
+        quiet_since = match router.exchanges.get() + router.arriving.get() + router.answering.get()
+        {
             0 => quiet_since.or(Some(router.now())),
             _ => None,
         };
