Objectives of no time do not ask for repeats without end

Found by review: a route whose objective is 0 had its silent attempts asked about again without a pause, each time with a look at all back ends and a line. At least 100 ms lie between now.

--- a/crates/stacktack-direct/src/sending.rs
+++ b/crates/stacktack-direct/src/sending.rs
@@ -31,6 +31,9 @@
 /// request may be repeated.
 const SILENCE_OBJECTIVES: u32 = 2;
 
+/// Time after which it is left at the earliest: objectives may be of no time.
+const SHORTEST_SILENCE: Duration = Duration::from_millis(100);
+
 /// Largest body of a failed answer that is kept, in bytes.
 const STORED_ANSWER: usize = 1024 * 1024;
 
@@ -222,7 +225,8 @@
     fn head_patience(&self) -> Duration {
         let remaining = self.remaining();
         if self.may_repeat_next() {
-            remaining.min(self.route.objective * SILENCE_OBJECTIVES)
+            let silence = self.route.objective * SILENCE_OBJECTIVES;
+            remaining.min(silence.max(SHORTEST_SILENCE))
         } else {
             remaining
         }
