Answers: a status that promises is not passed on for what may have run

Callers of a route whose requests run once at most got a back end's 408, 429 or 503 as it came, though the back end had run the request and did not say otherwise. These statuses promise that nothing ran: a caller that believes one sends the request again.

Cause: only the mark of a refusal was read as one, as it should be, but the status of an answer without the mark went on unchanged. Such an answer is now told as lost (502) where the request may run once only, and passed on where it may be repeated.

--- a/crates/stacktack-direct/src/ports.rs
+++ b/crates/stacktack-direct/src/ports.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 pub use futures_util::future::LocalBoxFuture;
 use hyper::http::{request, response};
-use hyper::{HeaderMap, Response};
+use hyper::{HeaderMap, Response, StatusCode};
 use stacktack_core::direct::back_ends::directory::DirectoryDelta;
 use stacktack_core::direct::back_ends::zone_drain::ZoneDrainNews;
 use stacktack_core::direct::choice::prompt::PromptChain;
@@ -171,6 +171,9 @@
     /// Reads the head of a back end's answer.
     fn read_answer(&self, head: &response::Parts) -> BackEndAnswer;
 
+    /// Whether a status tells a caller that its request did not run and is not going to.
+    fn promises_not_run(&self, status: StatusCode) -> bool;
+
     /// Headers of a back end's answer as the caller gets it.
     fn answer_headers(&self, back_end: &HeaderMap) -> HeaderMap;
 
--- a/crates/stacktack-direct/src/respond.rs
+++ b/crates/stacktack-direct/src/respond.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use hyper::Response;
+use hyper::{Response, StatusCode};
+use stacktack_core::direct::request::attempt::AttemptFailure;
 
 use crate::answer::{AnswerBody, StreamAnswer};
 use crate::attempt::{Attempt, StoredAnswer};
@@ -32,12 +33,40 @@
 /// Runs a request and answers it.
 pub async fn respond(mut exchange: Box<Exchange>) -> Response<AnswerBody> {
     match exchange.run().await {
+        ExchangeEnd::Answer(answer, attempt)
+            if promises_too_much(&exchange, answer.head.status) =>
+        {
+            withhold(exchange, answer, *attempt)
+        }
+        ExchangeEnd::FailedAnswer(last) if promises_too_much(&exchange, last.head.status) => {
+            refuse(&mut exchange, RefusalKind::Lost)
+        }
         ExchangeEnd::Answer(answer, attempt) => pass_on(exchange, answer, *attempt),
         ExchangeEnd::FailedAnswer(last) => pass_failure_on(&mut exchange, last),
         ExchangeEnd::Refused(kind) => refuse(&mut exchange, kind),
     }
 }
 
+/// Whether a back end's status would promise a caller that a request that may run once only did
+/// not run, though the back end did not say so.
+fn promises_too_much(exchange: &Exchange, status: StatusCode) -> bool {
+    !exchange.route.kind.is_idempotent() && exchange.router.protocol.promises_not_run(status)
+}
+
+/// Says in the place of an answer that it is uncertain whether the request ran.
+fn withhold(
+    mut exchange: Box<Exchange>,
+    answer: HeldAnswer,
+    attempt: Attempt,
+) -> Response<AnswerBody> {
+    exchange.note_failure(AttemptFailure::Failed, "-");
+    exchange.note_good_run();
+    if matches!(answer.source, AnswerSource::Whole(_)) {
+        attempt.finish();
+    }
+    refuse(&mut exchange, RefusalKind::Lost)
+}
+
 fn pass_on(
     mut exchange: Box<Exchange>,
     answer: HeldAnswer,
--- a/crates/stacktack-direct/tests/common/mod.rs
+++ b/crates/stacktack-direct/tests/common/mod.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use hyper::http::{request, response};
-use hyper::{HeaderMap, Response};
+use hyper::{HeaderMap, Response, StatusCode};
 use stacktack_core::direct::request::budget::BudgetBound;
 use stacktack_direct::clock::{Clock, RuntimeClock};
 use stacktack_direct::metrics::DirectMetrics;
@@ -35,6 +35,10 @@
         BackEndAnswer::default()
     }
 
+    fn promises_not_run(&self, _: StatusCode) -> bool {
+        false
+    }
+
     fn answer_headers(&self, back_end: &HeaderMap) -> HeaderMap {
         back_end.clone()
     }
