Loads: how long work takes at a back end is read from its answers

Back ends whose machines others use too tell a fourth figure with their load: how long work takes there now, in hundredths of what is usual. It is decoded into a typed field; nothing decides by it yet.

--- a/crates/stacktack-core/src/direct/back_ends/mod.rs
+++ b/crates/stacktack-core/src/direct/back_ends/mod.rs
@@ -7,6 +7,7 @@
 //! - [`slow_start`]: what the fleet sends a back end that is cold.
 //! - [`standing`]: how well a back end stands against its pool.
 //! - [`suspicion`]: whether a back end fails more often than its pool.
+//! - [`work_time`]: how long work takes at a back end, beside what is usual.
 //! - [`zone_drain`]: zones whose back ends get no requests.
 
 pub mod back_end;
@@ -16,6 +17,7 @@
 pub mod slow_start;
 pub mod standing;
 pub mod suspicion;
+pub mod work_time;
 pub mod zone_drain;
 
 use std::collections::{HashMap, HashSet, VecDeque};
--- a/crates/stacktack-direct/src/ports.rs
+++ b/crates/stacktack-direct/src/ports.rs
@@ -13,6 +13,7 @@
 use hyper::http::{request, response};
 use hyper::{HeaderMap, Response, StatusCode};
 use stacktack_core::direct::back_ends::directory::DirectoryDelta;
+use stacktack_core::direct::back_ends::work_time::WorkTime;
 use stacktack_core::direct::back_ends::zone_drain::ZoneDrainNews;
 use stacktack_core::direct::choice::prompt::PromptChain;
 use stacktack_core::direct::quarantine::digest::RequestDigest;
@@ -65,6 +66,8 @@
     pub waiting: u32,
     /// Requests that can run at once.
     pub slots: u32,
+    /// How long work takes there, if told.
+    pub work_time: Option<WorkTime>,
 }
 
 /// What the head of a back end's answer says.
