Callers: a head that never ends does not hold its connection

A caller that sent a part of a request's head and no more held its connection, and the router's descriptor, for good: the time in which a connection that rests is closed ended only connections on which nothing had come, and the time for a head was read from the configuration and bounded nothing.

A head is now bounded by the longer of the two times, counted from the end of the answer before.

--- a/crates/stacktack-direct/src/server.rs
+++ b/crates/stacktack-direct/src/server.rs
@@ -13,7 +13,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Response, StatusCode};
-use hyper_util::rt::TokioIo;
+use hyper_util::rt::{TokioIo, TokioTimer};
 use stacktack_core::time::Time;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -206,6 +206,9 @@
         .map(|known| known.limits)
         .unwrap_or_default();
     let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        // Counted from the end of the answer before, so that no rest may be cut by it.
+        .header_read_timeout(limits.idle_timeout.max(limits.header_timeout))
         .max_buf_size(BUFFER_BYTES.max(limits.header_bytes + 1024))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
