News: routers that start are told at once, and not all the same ones first

What callers saw: where twenty routers started at once, the last ones answered 503 (not_ready) for 160 to 310 ms, and one that started beside nineteen others for 60 to 160 ms.

Cause: a router that starts is told by those that know from the bytes that are left of a second. Rounds spend all of these every 100 ms, so that nothing was left; where all start, the three that everybody knows told the same newcomers in the same order until their bytes were spent, with the same few addresses to tell further, told again those that knew meanwhile, and nobody told those whose datagram was lost. Whoever knew one source only told newcomers that they need not wait for the other.

--- a/crates/stacktack-core/src/direct/peers/mod.rs
+++ b/crates/stacktack-core/src/direct/peers/mod.rs
@@ -18,8 +18,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use rand::seq::IndexedRandom;
-use rand::Rng;
+use rand::seq::{IndexedRandom, SliceRandom};
+use rand::{Rng, RngExt};
 
 use crate::direct::peers::peer_news::{OwnNews, PeerNews, ShortId, ZoneHash};
 use crate::time::Time;
@@ -87,6 +87,15 @@
 /// Newcomers that wait to be told news at once.
 const MAXIMUM_NEWCOMERS: usize = 64;
 
+/// Time after which a newcomer that was told and still knows nothing is told again, at first.
+const WELCOME_AGAIN: Duration = Duration::from_millis(100);
+
+/// How much longer it takes each time.
+const WELCOME_GROWTH: u32 = 4;
+
+/// Times that it takes longer.
+const MOST_GROWTHS: u32 = 5;
+
 /// Age up to which what a peer tells of its source counts: three others or more are heard meanwhile, however
 /// large the fleet is.
 const STATE_AGE: Duration = Duration::from_millis(500);
@@ -100,6 +109,10 @@
 /// Bytes that may be saved up, in seconds of the budget.
 const BURST_SECONDS: f64 = 1.0;
 
+/// Bytes that newcomers are told on credit, in seconds of the budget: rounds leave none. Where all start at
+/// once, each that is told tells others; rounds wait meanwhile.
+const CREDIT_FOR_NEWCOMERS: f64 = 0.5;
+
 #[derive(Clone, Debug)]
 struct Peer {
     incarnation: u32,
@@ -110,6 +123,35 @@
     settled: bool,
     serving: bool,
     loads: Vec<(ShortId, u16)>,
+    welcomes: Welcomes,
+}
+
+/// How often a peer that knew nothing was told so far.
+#[derive(Clone, Copy, Debug, Default)]
+struct Welcomes {
+    count: u32,
+    last: Time,
+}
+
+impl Welcomes {
+    /// Whether it is to be told again, later each time.
+    fn is_due(self, now: Time) -> bool {
+        let pause = match self.count {
+            0 => Duration::ZERO,
+            count => WELCOME_AGAIN * WELCOME_GROWTH.pow(count.min(MOST_GROWTHS) - 1),
+        };
+        now.since(self.last) >= pause
+    }
+
+    fn note(&mut self, now: Time) {
+        self.count += 1;
+        self.last = now;
+    }
+}
+
+/// Whether a router has heard of the configuration and of the directory.
+fn knows_both(configuration: u64, directory: u64) -> bool {
+    configuration > 0 && directory > 0
 }
 
 /// A datagram to send.
@@ -147,7 +189,7 @@
     turn: usize,
     peak: (usize, Time),
     /// Peers that know nothing yet, to be told at once.
-    newcomers: VecDeque<SocketAddr>,
+    newcomers: Vec<SocketAddr>,
     /// When peers and addresses that are not heard were last dropped.
     forgot: Time,
     /// When peers that served said that they do not any more.
@@ -181,7 +223,7 @@
             batch_told_to: 0,
             turn: incarnation as usize % SPREAD,
             peak: (0, now),
-            newcomers: VecDeque::new(),
+            newcomers: Vec::new(),
             forgot: now,
             stopped: HashMap::new(),
         };
@@ -231,15 +273,14 @@
         if self.addresses.is_empty() {
             return outgoing;
         }
-        let affordable = (self.saved_bytes / self.datagram_bytes) as usize;
-        let count = affordable.min(self.addresses.len());
+        let count = self.affordable(0.0).min(self.addresses.len());
         let told = self.places.len().min(PLACES_PER_DATAGRAM);
         let places: Vec<(u64, ShortId)> = self.places.iter().take(told).copied().collect();
         for _ in 0..count {
             self.turn = (self.turn + self.step()) % self.addresses.len();
             outgoing.push(Outgoing {
                 to: self.addresses[self.turn],
-                news: self.news(own, places.clone()),
+                news: self.news(own, places.clone(), self.turn + 1),
             });
         }
         self.batch_told_to += count;
@@ -251,26 +292,53 @@
     }
 
     /// Datagrams to send at once: what is new here goes to a few others (`spread`), and what is
-    /// known to newcomers, as far as the budget goes. They leave out what has time.
+    /// known of both sources to newcomers, as far as the budget goes. They leave out what has time.
     pub fn push(&mut self, own: &OwnNews, spread: bool, random: &mut impl Rng) -> Vec<Outgoing> {
-        let mut to: Vec<SocketAddr> = Vec::new();
-        if spread {
-            to.extend(self.addresses.sample(random, PUSHED_TO));
-        }
-        let affordable = (self.saved_bytes / self.datagram_bytes).max(0.0) as usize;
-        let welcomed = affordable.min(self.newcomers.len());
-        to.extend(self.newcomers.drain(..welcomed));
         let own = OwnNews {
             told_loads: Vec::new(),
             suspects: Vec::new(),
             ..own.clone()
         };
-        to.into_iter()
-            .map(|to| Outgoing {
-                to,
-                news: self.news(&own, Vec::new()),
-            })
-            .collect()
+        let mut outgoing = Vec::new();
+        if spread {
+            let to = self.addresses.sample(random, PUSHED_TO);
+            outgoing.extend(to.map(|to| self.to_push(*to, &own, self.turn + 1)));
+        }
+        if knows_both(own.configuration, own.directory) {
+            for newcomer in self.welcome(random) {
+                // Drawn: whoever is told tells others.
+                let first = random.random_range(0..self.addresses.len());
+                outgoing.push(self.to_push(newcomer, &own, first));
+            }
+        }
+        outgoing
+    }
+
+    fn to_push(&self, to: SocketAddr, own: &OwnNews, first: usize) -> Outgoing {
+        let news = self.news(own, Vec::new(), first);
+        Outgoing { to, news }
+    }
+
+    /// The newcomers to tell now. They are drawn: those who tell the same ones do not all begin with the
+    /// same.
+    fn welcome(&mut self, random: &mut impl Rng) -> Vec<SocketAddr> {
+        let credit = self.bytes_per_second * CREDIT_FOR_NEWCOMERS;
+        let count = self.affordable(credit).min(self.newcomers.len());
+        let waiting = &mut self.newcomers;
+        let (drawn, _) = waiting.partial_shuffle(random, count);
+        let drawn = drawn.to_vec();
+        self.newcomers.retain(|one| !drawn.contains(one));
+        for newcomer in &drawn {
+            if let Some(peer) = self.peers.get_mut(newcomer) {
+                peer.welcomes.note(self.last_tick);
+            }
+        }
+        drawn
+    }
+
+    /// Datagrams that the bytes saved, and so many more, are enough for.
+    fn affordable(&self, more: f64) -> usize {
+        ((self.saved_bytes + more) / self.datagram_bytes).max(0.0) as usize
     }
 
     /// Whether newcomers wait to be told.
@@ -290,10 +358,10 @@
             .unwrap_or(1)
     }
 
-    fn news(&self, own: &OwnNews, places: Vec<(u64, ShortId)>) -> PeerNews {
+    /// News with some of the addresses from this one on.
+    fn news(&self, own: &OwnNews, places: Vec<(u64, ShortId)>, first: usize) -> PeerNews {
         let mut loads = own.loads.clone();
         loads.truncate(LOADS_PER_DATAGRAM);
-        let first = self.turn + 1;
         let most = if self.last_tick.since(self.learned) < LEARNING {
             ADDRESSES_WHILE_LEARNING
         } else {
@@ -334,9 +402,9 @@
         }
         let known = self.peers.get(&news.from);
         let joined = known.is_none_or(|known| known.incarnation != news.incarnation);
-        if joined && news.configuration == 0 && self.newcomers.len() < MAXIMUM_NEWCOMERS {
-            self.newcomers.push_back(news.from);
-        }
+        let welcomes = known.filter(|_| !joined).map(|known| known.welcomes);
+        let welcomes = welcomes.unwrap_or_default();
+        self.note_newcomer(news, welcomes, now);
         self.note_serving(news, now);
         self.peers.insert(
             news.from,
@@ -349,6 +417,7 @@
                 settled: news.settled,
                 serving: news.serving,
                 loads: news.loads.clone(),
+                welcomes,
             },
         );
         self.learn(&news.routers);
@@ -360,6 +429,20 @@
         joined
     }
 
+    /// A router that lacks a source waits to be told. One that was told may not have heard it, or may be
+    /// unable to learn.
+    fn note_newcomer(&mut self, news: &PeerNews, welcomes: Welcomes, now: Time) {
+        if knows_both(news.configuration, news.directory) {
+            self.newcomers.retain(|one| *one != news.from);
+            return;
+        }
+        let waits = self.newcomers.contains(&news.from);
+        let is_full = self.newcomers.len() >= MAXIMUM_NEWCOMERS;
+        if !waits && !is_full && welcomes.is_due(now) {
+            self.newcomers.push(news.from);
+        }
+    }
+
     fn note_serving(&mut self, news: &PeerNews, now: Time) {
         if news.serving {
             self.stopped.remove(&news.from);
--- a/crates/stacktack-direct/src/news.rs
+++ b/crates/stacktack-direct/src/news.rs
@@ -46,11 +46,13 @@
     }
 }
 
-fn take(router: &Router, news: &PeerNews) {
+/// Takes what a peer tells of itself and of others.
+pub fn take(router: &Router, news: &PeerNews) {
     let now = router.now();
     router.note_heard();
     let joined = router.peers.borrow_mut().receive(news, now);
-    if router.version() > 0 && router.peers.borrow().has_newcomers() {
+    let has_all = router.version() > 0 && router.directory_revision() > 0;
+    if has_all && router.peers.borrow().has_newcomers() {
         router.newcomer_waits.notify_one();
     }
     if news.configuration > router.version() || news.directory > router.directory_revision() {
