Starts: whoever finds no room at a peer asks another one that knows as much at once

What callers saw: of twenty routers that started at once, some answered 503 (not_ready) for 100 ms longer than the others, though peers that knew everything had room.

Cause: a peer that hands over to as many as it may answered as one that fails, and each failure is followed by 100 ms without a question. Just one peer was remembered as asked, so that the next question went to a full one again.

Mended: "no room" is typed apart. All that had none are passed by, the next one of the own zone that knows more is asked at once, also one that learns it meanwhile; only a copy from another zone still waits 100 ms.

Evidence: tests/followers/start_of_all.rs, virtual time, one of twenty knows 2,000 back ends, a copy takes 20 ms: all know after 61 to 81 ms, before after 231.

--- a/crates/stacktack-core/src/direct/peers/whom_to_ask.rs
+++ b/crates/stacktack-core/src/direct/peers/whom_to_ask.rs
@@ -47,24 +47,24 @@
         zone.filter(|zone| *zone != self.zone)
     }
 
-    /// A peer with a newer configuration than this version; `failed` only if there is
-    /// no other one.
+    /// A peer with a newer configuration than this version; one that is `passed_by` only if there
+    /// is no other one.
     pub fn with_newer_configuration(
         &self,
         version: u64,
-        failed: Option<SocketAddr>,
+        passed_by: &[SocketAddr],
     ) -> Option<SocketAddr> {
-        self.with_newer(version, failed, |peer| peer.configuration)
+        self.with_newer(version, passed_by, |peer| peer.configuration)
     }
 
-    /// A peer that knows the directory beyond this revision; `failed` only if there is
-    /// no other one.
+    /// A peer that knows the directory beyond this revision; one that is `passed_by` only if there
+    /// is no other one.
     pub fn with_newer_directory(
         &self,
         revision: u64,
-        failed: Option<SocketAddr>,
+        passed_by: &[SocketAddr],
     ) -> Option<SocketAddr> {
-        self.with_newer(revision, failed, |peer| peer.directory)
+        self.with_newer(revision, passed_by, |peer| peer.directory)
     }
 
     /// The peer that knows most beyond `known`; one in the own zone if there is
@@ -72,14 +72,14 @@
     fn with_newer(
         &self,
         known: u64,
-        failed: Option<SocketAddr>,
+        passed_by: &[SocketAddr],
         of: impl Fn(&Peer) -> u64,
     ) -> Option<SocketAddr> {
         self.peers
             .iter()
             .filter(|(_, peer)| of(peer) > known)
             .max_by_key(|(address, peer)| {
-                let answers = failed != Some(**address);
+                let answers = !passed_by.contains(address);
                 (answers, peer.zone == self.zone, of(peer))
             })
             .map(|(address, _)| *address)
--- a/crates/stacktack-core/tests/peers.rs
+++ b/crates/stacktack-core/tests/peers.rs
@@ -148,10 +148,10 @@
         fleet.round(at(round * 250), &news);
     }
     let first = &fleet.peers[0];
-    assert_eq!(first.with_newer_configuration(6, None), Some(address(2)));
-    assert_eq!(first.with_newer_configuration(7, None), None);
-    assert_eq!(first.with_newer_directory(6, None), Some(address(2)));
-    assert_eq!(first.with_newer_directory(7, None), None);
+    assert_eq!(first.with_newer_configuration(6, &[]), Some(address(2)));
+    assert_eq!(first.with_newer_configuration(7, &[]), None);
+    assert_eq!(first.with_newer_directory(6, &[]), Some(address(2)));
+    assert_eq!(first.with_newer_directory(7, &[]), None);
     assert!(fleet.peers[0].any_settled(at(7 * 250)));
     // What a peer told of its source counts for a moment only.
     assert!(!fleet.peers[0].any_settled(at(10_000)));
@@ -247,9 +247,9 @@
     tell(1, "other", 9);
     tell(2, "zone", 7);
     tell(3, "zone", 8);
-    assert_eq!(first.with_newer_directory(5, None), Some(address(3)));
-    assert_eq!(first.with_newer_directory(8, None), Some(address(1)));
-    assert_eq!(first.with_newer_directory(9, None), None);
+    assert_eq!(first.with_newer_directory(5, &[]), Some(address(3)));
+    assert_eq!(first.with_newer_directory(8, &[]), Some(address(1)));
+    assert_eq!(first.with_newer_directory(9, &[]), None);
 }
 
 /// Routers that start together take the others for known when they know nine of ten, all
--- a/crates/stacktack-direct/src/followers/configuration.rs
+++ b/crates/stacktack-direct/src/followers/configuration.rs
@@ -172,7 +172,7 @@
     fn peer_knows_more(&self) -> bool {
         let peers = self.router.peers.borrow();
         peers
-            .with_newer_configuration(self.router.version(), None)
+            .with_newer_configuration(self.router.version(), &[])
             .is_some()
     }
 
--- a/crates/stacktack-direct/src/followers/directory.rs
+++ b/crates/stacktack-direct/src/followers/directory.rs
@@ -129,7 +129,7 @@
     fn peer_knows_more(&self) -> bool {
         let peers = self.router.peers.borrow();
         peers
-            .with_newer_directory(self.router.directory_revision(), None)
+            .with_newer_directory(self.router.directory_revision(), &[])
             .is_some()
     }
 
--- a/crates/stacktack-direct/src/followers/peers.rs
+++ b/crates/stacktack-direct/src/followers/peers.rs
@@ -8,10 +8,11 @@
 use stacktack_core::direct::back_ends::directory::DirectoryDelta;
 use stacktack_core::direct::sources::departure::Evidence;
 use stacktack_core::time::Time;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::directory::take_delta;
 use crate::knowledge::{Known, NewerConfiguration, PeerSource};
+use crate::ports::SourceError;
 use crate::router::Router;
 use crate::transfer::{while_moving, Transfer};
 
@@ -30,7 +31,7 @@
         router: router.clone(),
         source: source.clone(),
         subject,
-        failed: None,
+        passed_by: Vec::new(),
         behind_since: None,
     };
     tokio::join!(
@@ -46,13 +47,24 @@
     Directory,
 }
 
+/// How a call to a peer ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fetched {
+    /// It was answered.
+    Answer,
+    /// The peer tells too many at the moment.
+    NoRoom,
+    /// It failed.
+    Nothing,
+}
+
 /// Learns from peers about one subject.
 struct PeerFollower {
     router: Rc<Router>,
     source: Rc<dyn PeerSource>,
     subject: Subject,
-    /// The peer that failed to answer last.
-    failed: Option<SocketAddr>,
+    /// Peers that failed to answer, or had no room, when they were asked last.
+    passed_by: Vec<SocketAddr>,
     /// Since when peers have known more without telling it.
     behind_since: Option<Time>,
 }
@@ -66,8 +78,11 @@
                 () = sleep(LOOK) => {}
             }
             self.note_behind();
-            if let Some(peer) = self.whom_to_ask() {
-                self.fetch(peer).await;
+            while let Some(peer) = self.whom_to_ask() {
+                if self.fetch(peer).await != Fetched::NoRoom {
+                    break;
+                }
+                self.wait_for_room().await;
             }
             self.note_behind();
         }
@@ -110,17 +125,38 @@
         let peers = self.router.peers.borrow();
         match self.subject {
             Subject::Configuration => {
-                peers.with_newer_configuration(self.router.version(), self.failed)
+                peers.with_newer_configuration(self.router.version(), &self.passed_by)
             }
             Subject::Directory => {
                 // Not what was heard: a departure that is held here may be decided there.
-                peers.with_newer_directory(self.router.directory_revision(), self.failed)
+                peers.with_newer_directory(self.router.directory_revision(), &self.passed_by)
+            }
+        }
+    }
+
+    /// Waits until a peer of the own zone that was not asked yet may have room, or for the time between looks.
+    /// A copy from another zone is dearer than that.
+    async fn wait_for_room(&mut self) {
+        let another = async {
+            while !self.knows_another_near() {
+                self.router.peer_knows_more.notified().await;
             }
+        };
+        if timeout(LOOK, another).await.is_err() {
+            let last = self.passed_by.pop();
+            self.passed_by = last.into_iter().collect();
         }
     }
 
+    /// Whether a peer of the own zone that was not passed by knows more.
+    fn knows_another_near(&self) -> bool {
+        self.whom_to_ask().is_some_and(|peer| {
+            !self.passed_by.contains(&peer) && self.router.peers.borrow().is_near(peer)
+        })
+    }
+
     /// Fetches what a peer knows beyond this router.
-    async fn fetch(&mut self, peer: SocketAddr) {
+    async fn fetch(&mut self, peer: SocketAddr) -> Fetched {
         let transfer = Transfer::begin();
         let known = match self.subject {
             Subject::Configuration => Known::Configuration(self.router.version()),
@@ -132,7 +168,7 @@
         let (bytes, ms) = (transfer.bytes(), transfer.elapsed().as_millis());
         match answer {
             Ok(knowledge) => {
-                self.failed = None;
+                self.passed_by.clear();
                 if let Some(newer) = knowledge.configuration {
                     log::info!(target: "peers", "peer={peer} fetched=configuration near={near} bytes={bytes} ms={ms}");
                     self.take_configuration(&newer);
@@ -148,18 +184,29 @@
                     self.take_directory(delta);
                 }
                 self.router.take_claims();
+                Fetched::Answer
             }
             Err(error) => {
-                self.failed = Some(peer);
-                sleep(LOOK).await;
                 log::info!(
                     target: "peers",
                     "peer={peer} fetched=false cause=\"{error}\" bytes={bytes} ms={ms}"
                 );
+                self.pass_by(peer, error).await
             }
         }
     }
 
+    /// A peer told nothing.
+    async fn pass_by(&mut self, peer: SocketAddr, error: SourceError) -> Fetched {
+        if error == SourceError::NoRoom {
+            self.passed_by.push(peer);
+            return Fetched::NoRoom;
+        }
+        self.passed_by = vec![peer];
+        sleep(LOOK).await;
+        Fetched::Nothing
+    }
+
     /// Takes a configuration over, if the changes are from the version in force: the
     /// store may have told a newer one since the peer was asked.
     fn take_configuration(&self, newer: &[u8]) {
--- a/crates/stacktack-direct/src/knowledge.rs
+++ b/crates/stacktack-direct/src/knowledge.rs
@@ -227,10 +227,11 @@
     let host = host.map_err(|_| SourceError::Malformed)?;
     request.headers_mut().insert(hyper::header::HOST, host);
     let answer = whole_answer(&mut connection, request, transfer).await?;
-    if answer.status() != StatusCode::OK {
-        return Err(SourceError::Refused(answer.status().as_u16()));
+    match answer.status() {
+        StatusCode::OK => Ok(answer.into_body()),
+        StatusCode::SERVICE_UNAVAILABLE => Err(SourceError::NoRoom),
+        status => Err(SourceError::Refused(status.as_u16())),
     }
-    Ok(answer.into_body())
 }
 
 /// Reads a list of routers; one that is longer than any fleet is none.
--- a/crates/stacktack-direct/src/lib.rs
+++ b/crates/stacktack-direct/src/lib.rs
@@ -36,7 +36,7 @@
 pub mod knowledge;
 mod load_summary;
 pub mod metrics;
-mod news;
+pub mod news;
 pub mod ports;
 mod quarantine;
 mod respond;
--- a/crates/stacktack-direct/src/source_error.rs
+++ b/crates/stacktack-direct/src/source_error.rs
@@ -20,6 +20,9 @@
     /// The call was refused with this status.
     #[error("refused with status {0}")]
     Refused(u16),
+    /// Too many are told at the moment; others may have room.
+    #[error("no room now")]
+    NoRoom,
     /// The history after the given revision is gone: read everything anew.
     #[error("the history is gone")]
     HistoryGone,
--- a/crates/stacktack-direct/tests/followers/main.rs
+++ b/crates/stacktack-direct/tests/followers/main.rs
@@ -6,6 +6,7 @@
 mod departures_in_time;
 mod scripted_directory;
 mod serving_peer;
+mod start_of_all;
 mod starts;
 #[path = "../common/steady_peer.rs"]
 mod steady_peer;
--- a/crates/stacktack-direct/tests/followers/starts.rs
+++ b/crates/stacktack-direct/tests/followers/starts.rs
@@ -51,7 +51,7 @@
     }
 }
 
-fn store() -> Rc<Dependency> {
+pub fn store() -> Rc<Dependency> {
     Rc::new(Dependency::new("store").expect("chart"))
 }
 
