Starts: small documents wait for no turn

What callers saw: of twenty routers that started at once, one found no room at the first peer for documents of 182 and 1,869 bytes, knew them 118 ms after its start, and answered 503 (not_ready) meanwhile.

Cause: three whole documents at once, whatever their size, though it is large ones that share a link for long.

Mended: copies of up to 32 kB in all on their way need no turn. The size is that of the last copy.

--- a/crates/stacktack-core/src/direct/peers/hand_over.rs
+++ b/crates/stacktack-core/src/direct/peers/hand_over.rs
@@ -2,7 +2,8 @@
 //!
 //! Many that ask at once would share its link, and each would have the document late and nothing to hand
 //! on meanwhile. Few at a time have it soon and serve the others; one for each other zone, since one copy
-//! serves a zone and bytes between zones are dear.
+//! serves a zone and bytes between zones are dear. Small documents wait for no turn: a router that waits
+//! serves nobody meanwhile.
 
 use std::time::Duration;
 
@@ -15,6 +16,9 @@
 /// The same to routers of one other zone.
 const MOST_FAR: usize = 1;
 
+/// Bytes of small documents that are on their way at once.
+const MOST_SMALL_BYTES: usize = 32 * 1024;
+
 /// Time after which one on its way makes room for another: whoever takes it may have stopped.
 const LONGEST: Duration = Duration::from_millis(1000);
 
@@ -23,6 +27,8 @@
 pub struct HandOvers {
     under_way: Vec<HandOver>,
     begun: u64,
+    /// Bytes of the document when it was last handed over.
+    document_bytes: Option<usize>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -40,7 +46,7 @@
         self.under_way.retain(|one| now.since(one.since) < LONGEST);
         let alike = self.under_way.iter().filter(|one| one.far == far).count();
         let most = if far.is_some() { MOST_FAR } else { MOST_NEAR };
-        if alike >= most {
+        if alike >= most && !self.is_small() {
             return None;
         }
         self.begun += 1;
@@ -52,6 +58,18 @@
         Some(self.begun)
     }
 
+    /// The document that is handed over has so many bytes.
+    pub fn note_size(&mut self, bytes: usize) {
+        self.document_bytes = Some(bytes);
+    }
+
+    /// Whether one more copy beside those on their way is still few bytes.
+    fn is_small(&self) -> bool {
+        let copies = self.under_way.len() + 1;
+        let bytes = self.document_bytes.map(|bytes| bytes * copies);
+        bytes.is_some_and(|bytes| bytes <= MOST_SMALL_BYTES)
+    }
+
     /// A hand-over is over.
     pub fn end(&mut self, number: u64) {
         self.under_way.retain(|one| one.number != number);
--- a/crates/stacktack-core/tests/hand_over.rs
+++ b/crates/stacktack-core/tests/hand_over.rs
@@ -43,3 +43,18 @@
     assert_eq!(handed.begin(zone("b"), at(900)), None);
     assert!(handed.begin(zone("b"), at(1100)).is_some());
 }
+
+/// Nineteen routers of a small fleet waited for turns at two kilobytes.
+#[test]
+fn small_documents_wait_for_no_turn_and_large_ones_do() {
+    for (bytes, near, far) in [(2000, 14..=16, 0..=2), (40_000, 1..=4, 1..=1)] {
+        let mut handed = HandOvers::default();
+        let first = handed.begin(None, at(0)).expect("has room");
+        handed.note_size(bytes);
+        let begun = (0..75).filter(|_| handed.begin(None, at(0)).is_some());
+        assert!(near.contains(&begun.count()), "{bytes}");
+        let begun = (0..75).filter(|_| handed.begin(zone("b"), at(0)).is_some());
+        assert!(far.contains(&begun.count()), "{bytes}");
+        handed.end(first);
+    }
+}
--- a/crates/stacktack-direct/src/knowledge.rs
+++ b/crates/stacktack-direct/src/knowledge.rs
@@ -312,6 +312,7 @@
         number,
     };
     let (status, body) = answer_peer(router, path_and_query);
+    handed.borrow_mut().note_size(body.len());
     (status, body, Some(under_way))
 }
 
--- a/crates/stacktack-direct/tests/followers/start_of_all.rs
+++ b/crates/stacktack-direct/tests/followers/start_of_all.rs
@@ -110,3 +110,11 @@
         assert!(took < Duration::from_millis(150), "{took:?}");
     }
 }
+
+#[tokio::test(start_paused = true)]
+async fn small_documents_wait_for_no_turn() {
+    for _ in 0..10 {
+        let took = time_until_all_know(6).await;
+        assert!(took < Duration::from_millis(50), "{took:?}");
+    }
+}
