Answers: one that its caller does not read ends with its request's time

A caller that took a large answer or a stream and read nothing held its back end's place, two connections and what was buffered for as long as it liked: a 60 MB answer to a request with 1 s ran on after 23 s, when the test gave up.

Cause: an answer that is passed on as it comes looks at its limit when it is asked for bytes, and it is asked only as its caller reads.

The test failed before (the run had not ended).

--- a/crates/stacktack-direct/src/respond.rs
+++ b/crates/stacktack-direct/src/respond.rs
@@ -11,6 +11,7 @@
 use crate::held::{AnswerSource, HeldAnswer};
 use crate::ports::{Refusal, RefusalKind};
 use crate::router::Router;
+use crate::unread::AnswerLimit;
 
 /// Time after which a caller may come back when nobody could take its request.
 pub(crate) const RETRY_AFTER: Duration = Duration::from_millis(150);
@@ -87,10 +88,12 @@
         }
         AnswerSource::Coming { begun, rest } => {
             let status = head.status.as_u16();
+            let limit = AnswerLimit(exchange.limit);
             let stream = StreamAnswer::new(exchange, begun, rest, attempt, status);
             if stream.is_resumable() {
                 head.headers.remove(hyper::header::CONTENT_LENGTH);
             }
+            head.extensions.insert(limit);
             AnswerBody::stream(stream)
         }
     };
--- a/crates/stacktack-direct/src/server.rs
+++ b/crates/stacktack-direct/src/server.rs
@@ -21,6 +21,7 @@
 
 use crate::admission;
 use crate::router::{Phase, Router};
+use crate::unread::PassedAnswer;
 
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1024;
@@ -181,12 +182,15 @@
 {
     let _open = OpenConnection::new(router.clone());
     let activity = Rc::new(Activity::new(router.clone()));
+    let passed = Rc::new(PassedAnswer::default());
     let service = {
         let router = router.clone();
         let activity = activity.clone();
+        let passed = passed.clone();
         service_fn(move |request| {
             let router = router.clone();
             let activity = activity.clone();
+            let passed = passed.clone();
             activity.set(true);
             async move {
                 let mut response = admission::answer(router.clone(), request).await;
@@ -195,7 +199,7 @@
                     response.headers_mut().insert(CONNECTION, close);
                 }
                 activity.set(false);
-                Ok::<_, Infallible>(response)
+                Ok::<_, Infallible>(passed.follow(response))
             }
         })
     };
@@ -213,9 +217,14 @@
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let mut draining = time_to_close(&router).boxed_local().fuse();
+    let mut overdue = std::pin::pin!(passed.overdue(&router));
     loop {
         tokio::select! {
             _ = connection.as_mut() => return,
+            () = &mut overdue => {
+                log::info!(target: "callers", "unread=true: an answer ended with its time");
+                return;
+            }
             _ = &mut draining => connection.as_mut().graceful_shutdown(),
             _ = sleep(limits.idle_timeout) => {
                 let rested = router.now().since(activity.changed.get()) >= limits.idle_timeout;
