--- a/crates/stacktack-core/tests/back_end_beliefs.rs
+++ b/crates/stacktack-core/tests/back_end_beliefs.rs
@@ -91,6 +91,36 @@
     assert_eq!(standing(&all, "b", at(50)), Some(Standing::Good));
 }
 
+/// Standings of a back end after each of thirty answers that took so many milliseconds.
+fn standings_beside(all: &mut BackEnds, id: &str, took: u64) -> Vec<Option<Standing>> {
+    let mut standings = Vec::new();
+    for now in 0..30 {
+        let member = all.get_mut(id).expect("known");
+        member.on_send(at(now));
+        member.on_first_byte(Duration::from_millis(took));
+        member.load.on_end(at(now));
+        standings.push(standing(all, id, at(now)));
+    }
+    standings
+}
+
+#[test]
+fn clearly_slower_than_the_pool_degrades_until_it_was_not_used_for_a_while() {
+    let mut usual = back_ends(&["a", "b", "c"]);
+    for id in ["a", "b", "c"] {
+        let standings = standings_beside(&mut usual, id, 50);
+        assert!(standings.iter().all(|one| *one == Some(Standing::Good)));
+    }
+    let twice = standings_beside(&mut usual.clone(), "a", 100);
+    assert!(twice.iter().all(|one| *one == Some(Standing::Good)));
+    let slow = standings_beside(&mut usual, "a", 200);
+    assert_eq!(slow[0], Some(Standing::Good), "one slow answer");
+    assert_eq!(slow[29], Some(Standing::Degraded));
+    assert_eq!(standing(&usual, "b", at(30)), Some(Standing::Good));
+    assert_eq!(standing(&usual, "a", at(2900)), Some(Standing::Degraded));
+    assert_eq!(standing(&usual, "a", at(3100)), Some(Standing::Good));
+}
+
 #[test]
 fn leaving_back_ends_get_nothing_but_may_still_hand_over() {
     let mut all = back_ends(&["a", "b"]);
