Roll-outs: the tests' store and scenario are modules, sums of counts are kept

A router added up the counts of all others at each judgement, ten times a second; they are kept as sums now.

--- a/crates/stacktack-core/src/direct/rollout/evidence.rs
+++ b/crates/stacktack-core/src/direct/rollout/evidence.rs
@@ -112,6 +112,14 @@
         self.new.add(&other.new);
         self.old.add(&other.old);
     }
+
+    /// What was counted after earlier counts.
+    pub fn since(&self, earlier: &VersionCounts) -> VersionCounts {
+        VersionCounts {
+            new: self.new.since(&earlier.new),
+            old: self.old.since(&earlier.old),
+        }
+    }
 }
 
 /// Counts by route.
@@ -141,6 +149,8 @@
 pub struct FleetEvidence {
     own: EvidenceNews,
     others: BTreeMap<u32, EvidenceNews>,
+    /// Sums of all counts.
+    totals: RouteCounts,
     /// Others with new bad answers, the newest last.
     newest: Vec<u32>,
     /// Place of the next one to be told in turn.
@@ -156,6 +166,7 @@
                 ..EvidenceNews::default()
             },
             others: BTreeMap::new(),
+            totals: RouteCounts::new(),
             newest: Vec::new(),
             turn: 0,
         }
@@ -166,13 +177,15 @@
         let routes = &mut self.own.routes;
         let is_counted = routes.contains_key(&route) || routes.len() < MOST_ROUTES;
         let route = if is_counted { route } else { RouteHash::OTHERS };
-        let counts = routes.entry(route).or_default();
-        let side = if is_new {
-            &mut counts.new
-        } else {
-            &mut counts.old
-        };
-        side.count(grade);
+        for routes in [routes, &mut self.totals] {
+            let counts = routes.entry(route).or_default();
+            let side = if is_new {
+                &mut counts.new
+            } else {
+                &mut counts.old
+            };
+            side.count(grade);
+        }
         self.own.counted += 1;
     }
 
@@ -195,19 +208,20 @@
                 self.newest.remove(0);
             }
         }
+        let nothing = RouteCounts::new();
+        let before = known.map_or(&nothing, |known| &known.routes);
+        for (route, counts) in &news.routes {
+            let before = before.get(route).copied().unwrap_or_default();
+            let total = self.totals.entry(*route).or_default();
+            total.add(&counts.since(&before));
+        }
         self.others.insert(news.router, news.clone());
         true
     }
 
     /// Counts of all routers that are known.
-    pub fn totals(&self) -> RouteCounts {
-        let mut totals = RouteCounts::new();
-        for news in self.others.values().chain([&self.own]) {
-            for (route, counts) in &news.routes {
-                totals.entry(*route).or_default().add(counts);
-            }
-        }
-        totals
+    pub fn totals(&self) -> &RouteCounts {
+        &self.totals
     }
 
     /// Counts to tell others: the own ones, those with the newest bad answers, and some in turn.
--- a/crates/stacktack-core/src/direct/rollout/harm.rs
+++ b/crates/stacktack-core/src/direct/rollout/harm.rs
@@ -98,10 +98,7 @@
         let mut all_news = VersionCounts::default();
         for (route, counts) in totals {
             let seen = self.seen.get(route).copied().unwrap_or_default();
-            let since = VersionCounts {
-                new: counts.new.since(&seen.new),
-                old: counts.old.since(&seen.old),
-            };
+            let since = counts.since(&seen);
             all.add(counts);
             all_news.add(&since);
             news.insert(*route, since);
--- a/crates/stacktack-core/src/direct/rollout/running.rs
+++ b/crates/stacktack-core/src/direct/rollout/running.rs
@@ -157,7 +157,7 @@
         self.usual_times = times
             .filter_map(|(route, counts)| Some((*route, usual_time(&counts.old)?)))
             .collect();
-        if let Some(harm) = self.test.take(&totals) {
+        if let Some(harm) = self.test.take(totals) {
             self.harmful = true;
             let cause = RolloutCause::Harm(harm);
             changes.extend(self.step(RolloutEvent::Harmed, cause, rank, chart, now));
--- a/crates/stacktack-core/tests/rollout/main.rs
+++ b/crates/stacktack-core/tests/rollout/main.rs
@@ -6,12 +6,15 @@
 #[path = "../gossip/mod.rs"]
 mod gossip;
 mod orders;
+mod scenario;
+mod store;
 mod world;
 
 use std::time::Duration;
 
+use scenario::{Fault, Outcome, Plan, Trouble};
 use stacktack_core::direct::rollout::status::StoredState;
-use world::{Fault, Outcome, Plan, Trouble, World, BOUND};
+use world::{World, BOUND};
 
 const SECOND: Duration = Duration::from_secs(1);
 
--- /dev/null
+++ b/crates/stacktack-core/tests/rollout/store.rs
@@ -0,0 +1,76 @@
+//! The store on virtual time: it holds one order and the status of its roll-out, and takes a
+//! write if its condition holds.
+
+use std::time::Duration;
+
+use stacktack_core::direct::rollout::order::RolloutOrder;
+use stacktack_core::direct::rollout::status::{
+    StatusWrite, StatusWriteEnd, StoredState, StoredStatus,
+};
+use stacktack_core::time::Time;
+
+/// What the store holds.
+pub struct Store {
+    order: Option<(RolloutOrder, Time)>,
+    revision: u64,
+    status: Option<StoredStatus>,
+    /// Outcomes that were taken, in order.
+    pub outcomes: Vec<StoredState>,
+    /// When the last one was, after the order.
+    pub decided_after: Option<Duration>,
+}
+
+impl Store {
+    /// Nothing is ordered.
+    pub fn new() -> Self {
+        Store {
+            order: None,
+            revision: 100,
+            status: None,
+            outcomes: Vec::new(),
+            decided_after: None,
+        }
+    }
+
+    /// The operator gives an order.
+    pub fn give_order(&mut self, service: &str, version: &str, duration: Duration, now: Time) {
+        self.revision += 1;
+        let seconds = duration.as_secs_f64();
+        let order = RolloutOrder::new(service.into(), version.into(), seconds, self.revision);
+        self.order = Some((order.expect("an order"), now));
+    }
+
+    /// The order, if one is given.
+    pub fn order(&self) -> Option<&RolloutOrder> {
+        self.order.as_ref().map(|(order, _)| order)
+    }
+
+    /// Time since the order; zero before.
+    pub fn since_order(&self, now: Time) -> Duration {
+        let begun = self.order.as_ref().map(|(_, begun)| *begun);
+        now.since(begun.unwrap_or(now))
+    }
+
+    /// Takes a write if its condition holds.
+    pub fn apply(&mut self, write: &StatusWrite, now: Time) -> StatusWriteEnd {
+        let order_revision = self.order().map_or(0, |order| order.revision);
+        let known = self.status.as_ref().map_or(0, |status| status.revision);
+        if write.order_revision != order_revision || write.status_revision != known {
+            return StatusWriteEnd::Conflict {
+                order_revision,
+                status: self.status.clone(),
+            };
+        }
+        self.revision += 1;
+        self.status = Some(StoredStatus {
+            state: write.state,
+            version: write.version.clone(),
+            revision: self.revision,
+        });
+        if write.state != StoredState::Running {
+            self.outcomes.push(write.state);
+            self.decided_after = Some(self.since_order(now));
+        }
+        StatusWriteEnd::Stored(self.revision)
+    }
+}
--- a/crates/stacktack-core/tests/rollout/world.rs
+++ b/crates/stacktack-core/tests/rollout/world.rs
@@ -1,8 +1,8 @@
 //! Routers, back ends of two versions and a store, on virtual time.
 //!
 //! Callers ask for the routes of one service. Routers tell each other within the budget of
-//! bytes; 3 in 100 datagrams are lost. The store applies a write under its condition; its
-//! answer may be lost, and the write may be done seconds later.
+//! bytes; 3 in 100 datagrams are lost. An answer of the store may be lost, and its write may
+//! be done seconds later.
 
 use std::time::Duration;
 
@@ -11,18 +11,17 @@
 use stacktack_core::direct::peers::peer_news::OwnNews;
 use stacktack_core::direct::peers::{Outgoing, Peers};
 use stacktack_core::direct::rollout::exposure::ExposureBound;
-use stacktack_core::direct::rollout::order::RolloutOrder;
 use stacktack_core::direct::rollout::progress::Progress;
 use stacktack_core::direct::rollout::rollout_news::RolloutNews;
 use stacktack_core::direct::rollout::speed::SpeedWanted;
-use stacktack_core::direct::rollout::status::{
-    write_rank, StatusWrite, StatusWriteEnd, StoredState, StoredStatus,
-};
+use stacktack_core::direct::rollout::status::{write_rank, StatusWrite, StatusWriteEnd};
 use stacktack_core::direct::rollout::{RolloutChange, Rollouts, VersionSide};
 use stacktack_core::time::Time;
 
 use crate::event_queue::{random_time, EventQueue};
 use crate::gossip::{address, peers, Network, DELAY, INTERVAL, OTHER_BYTES};
+use crate::scenario::{Fault, Outcome, Plan};
+use crate::store::Store;
 
 pub const SERVICE: &str = "service";
 pub const OLD: &str = "v1";
@@ -46,65 +45,6 @@
     reads_prompts: false,
 };
 
-/// What is wrong with the new version.
-#[derive(Clone, Copy, Debug)]
-pub struct Fault {
-    /// Share of its answers that are bad.
-    pub share: f64,
-    /// How many times as long bad answers take; 0 for failed ones.
-    pub slower: f64,
-    /// From when on, after the order.
-    pub from: Duration,
-    /// On which route; `None` for all.
-    pub route: Option<usize>,
-}
-
-/// What is wrong with routers and store.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Trouble {
-    /// Share of the writes whose answers are lost; half of them are done late.
-    pub lost_answers: f64,
-    /// Share of the writers that are killed right after a write, and start anew.
-    pub killed_writers: f64,
-    /// Routers that are cut off from peers and store from the order on, for this long.
-    pub cut_off: usize,
-    pub cut_for: Duration,
-    /// Share of the answers of both versions that fail from half of the order's time on.
-    pub failing_all: f64,
-}
-
-#[derive(Clone, Copy, Debug)]
-pub struct Plan {
-    pub seed: u64,
-    pub routers: usize,
-    /// Requests a second at all routers together.
-    pub rate: f64,
-    pub duration: Duration,
-    pub fault: Option<Fault>,
-    pub trouble: Trouble,
-}
-
-#[derive(Clone, Debug, Default)]
-pub struct Outcome {
-    /// Requests to the service between order and deadline, and those to the new version; from
-    /// routers in touch.
-    pub requests: u64,
-    pub exposed: u64,
-    /// Bad answers of the new version, and requests sent later than the bound after the 50th.
-    pub bad: u64,
-    pub late: u64,
-    /// Outcomes that the store took, in order.
-    pub stored: Vec<StoredState>,
-    /// When the last one was, after the order.
-    pub decided_after: Option<Duration>,
-    /// Writing calls to the store.
-    pub writes: usize,
-    /// Most requests to the new version at one router in excess of its own share.
-    pub own_excess: f64,
-    /// Bytes that the busiest router sent in a second during the order, in the mean.
-    pub bytes_per_second: f64,
-}
-
 /// Time after the 50th bad answer from which no request may go to the new version.
 const ROLLBACK: Duration = Duration::from_secs(5);
 
@@ -156,9 +96,7 @@
     queue: EventQueue<Event>,
     network: Network<Vec<RolloutNews>>,
     routers: Vec<Router>,
-    order: Option<(RolloutOrder, Time)>,
-    revision: u64,
-    status: Option<StoredStatus>,
+    store: Store,
     writes: Vec<Write>,
     fiftieth: Option<Time>,
     outcome: Outcome,
@@ -197,9 +135,7 @@
             queue,
             network: Network::new(plan.routers),
             routers,
-            order: None,
-            revision: 100,
-            status: None,
+            store: Store::new(),
             writes: Vec::new(),
             fiftieth: None,
             outcome: Outcome::default(),
@@ -218,6 +154,8 @@
         let seconds = self.plan.duration.mul_f64(1.5).as_secs_f64();
         let most = self.routers.iter().map(|router| router.bytes).max();
         self.outcome.bytes_per_second = most.unwrap_or(0) as f64 / seconds;
+        self.outcome.stored = self.store.outcomes;
+        self.outcome.decided_after = self.store.decided_after;
         self.outcome
     }
 
@@ -260,10 +198,8 @@
     }
 
     fn begin(&mut self) {
-        self.revision += 1;
-        let seconds = self.plan.duration.as_secs_f64();
-        let order = RolloutOrder::new(SERVICE.into(), NEW.into(), seconds, self.revision);
-        self.order = Some((order.expect("an order"), self.queue.now));
+        let now = self.queue.now;
+        self.store.give_order(SERVICE, NEW, self.plan.duration, now);
         for router in &mut self.routers {
             router.bytes = 0;
         }
@@ -283,7 +219,7 @@
 
     fn hear_order(&mut self, router: usize) {
         let now = self.queue.now;
-        if let Some((order, _)) = &self.order {
+        if let Some(order) = self.store.order() {
             if !self.routers[router].cut_off {
                 self.routers[router].rollouts.take_order(order, now);
             }
@@ -291,8 +227,7 @@
     }
 
     fn since_order(&self) -> Duration {
-        let begun = self.order.as_ref().map(|(_, begun)| *begun);
-        self.queue.now.since(begun.unwrap_or(self.queue.now))
+        self.store.since_order(self.queue.now)
     }
 
     fn request(&mut self) {
@@ -488,31 +423,9 @@
             .schedule(Duration::from_millis(700), Event::Start(number));
     }
 
-    /// The store takes a write if its condition holds.
     fn apply(&mut self, id: usize) {
-        let (order, begun) = self.order.clone().expect("an order is there");
         let write = &mut self.writes[id];
-        let known = self.status.as_ref().map_or(0, |status| status.revision);
-        let holds =
-            write.write.order_revision == order.revision && write.write.status_revision == known;
-        if !holds {
-            write.end = Some(StatusWriteEnd::Conflict {
-                order_revision: order.revision,
-                status: self.status.clone(),
-            });
-            return;
-        }
-        self.revision += 1;
-        write.end = Some(StatusWriteEnd::Stored(self.revision));
-        self.status = Some(StoredStatus {
-            state: write.write.state,
-            version: write.write.version.clone(),
-            revision: self.revision,
-        });
-        if write.write.state != StoredState::Running {
-            self.outcome.stored.push(write.write.state);
-            self.outcome.decided_after = Some(self.queue.now.since(begun));
-        }
+        write.end = Some(self.store.apply(&write.write, self.queue.now));
     }
 
     fn written(&mut self, id: usize) {
