Roll-outs: what a version gets stays within the bound until it is completed

A version that turned bad after its proof got 374 to 490 of some 3,400 requests where about 390 may, up to 894 where it turned bad at 9 s of 12: the whole traffic went there for a quarter of the order's time. Now single requests, a trial with the whole traffic and the time before the completion have parts of the share; where the outcome is not stored in time, single requests go there again. What is suspicious does not go on.

A good version of a service with little traffic was rolled back for want of proof.

Counts of others were told in turn, those without an answer of the new version too, and one with many routes never fitted a datagram. Now those are told that were told most seldom since the new version answered there, a route at a time; bad answers at once. Counts begin anew each fifth of the time, so that old answers are not compared with those of late.

The tests' bound on one router allows its part of the slack and what it may try; in its place each play holds the bound of the whole fleet before an outcome.

--- a/crates/stacktack-direct/src/rollouts.rs
+++ b/crates/stacktack-direct/src/rollouts.rs
@@ -80,18 +80,25 @@
     /// Judges what is known of versions that are rolled out.
     pub fn judge_rollouts(&self) {
         let now = self.now();
-        let changes = {
+        let (changes, is_urgent) = {
             let mut rollouts = self.rollouts.borrow_mut();
             let Some(rollouts) = rollouts.as_mut() else {
                 return;
             };
+            let peers = self.peers.borrow();
             let rank = match rollouts.is_empty() {
                 true => 0,
-                false => write_rank(self.settings.peers.listen, self.peers.borrow().addresses()),
+                false => write_rank(self.settings.peers.listen, peers.addresses()),
             };
-            rollouts.set(self.bounds().exposure, rank);
-            rollouts.tick(now)
+            let others = peers.addresses().len();
+            let is_known = peers.knows_fleet(now) && peers.alive() * 2 >= others;
+            let routers = is_known.then_some(others + 1);
+            rollouts.set(self.bounds().exposure, rank, routers);
+            (rollouts.tick(now), rollouts.takes_push())
         };
+        if is_urgent {
+            self.push_due.notify_one();
+        }
         self.note_rollout_changes(&changes);
         if !self.rollout_writes().is_empty() {
             self.rollout_write_due.notify_one();
@@ -312,7 +319,7 @@
             is_counted: Cell::new(false),
         };
         if watch.is_new {
-            rollouts.on_send(&watch.service, &watch.version);
+            rollouts.on_send(&watch.service, &watch.version, router.now());
         }
         Some(watch)
     }
@@ -321,7 +328,7 @@
     pub(crate) fn on_write(&self, router: &Router) {
         if !self.is_new {
             if let Some(rollouts) = router.rollouts.borrow_mut().as_mut() {
-                rollouts.on_send(&self.service, &self.version);
+                rollouts.on_send(&self.service, &self.version, router.now());
             }
         }
     }
