--- a/crates/stacktack-core/src/direct/rollout/evidence.rs
+++ b/crates/stacktack-core/src/direct/rollout/evidence.rs
@@ -2,8 +2,8 @@
 //! routers can merge.
 //!
 //! Each router counts its own answers since the order; what it tells is the whole count so
-//! far, of some of its routes. The newest count of a route by each incarnation of a router replaces
-//! the one before, so that news may arrive late, twice and in any order.
+//! far. The newest count of each incarnation of a router replaces the one before, so that
+//! news may arrive late, twice and in any order.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -20,17 +20,10 @@
 /// Routes that one router counts: more of one service are counted together.
 const MOST_ROUTES: usize = 24;
 
-/// Counts of others that are told first: those with the newest bad answers, which have to
-/// arrive early. The tests bear that bad answers arrive before good ones.
+/// Counts of others that are told at once: those with the newest bad answers, which have to
+/// arrive early, and some in turn. The tests bear that bad answers arrive before good ones.
 const TOLD_NEWEST: usize = 2;
-
-/// Room of what is told at once, in bytes, and how much of it a router and a route take.
-const TOLD_BYTES: usize = 230;
-const ROUTER_BYTES: usize = 8;
-const ROUTE_BYTES: usize = 13;
-
-/// Most of its own routes that a router tells at once: others in turn.
-const TOLD_OWN_ROUTES: usize = 8;
+const TOLD_IN_TURN: usize = 3;
 
 /// Short form of a route's name.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -85,11 +78,6 @@
         }
     }
 
-    /// Those that failed or were slow.
-    fn bad(&self) -> u32 {
-        self.failed.saturating_add(self.slow)
-    }
-
     /// Adds another count.
     pub fn add(&mut self, other: &AnswerCounts) {
         self.answers = self.answers.saturating_add(other.answers);
@@ -125,11 +113,6 @@
         self.old.add(&other.old);
     }
 
-    /// Answers of both versions.
-    fn answers(&self) -> u32 {
-        self.new.answers.saturating_add(self.old.answers)
-    }
-
     /// What was counted after earlier counts.
     pub fn since(&self, earlier: &VersionCounts) -> VersionCounts {
         VersionCounts {
@@ -154,70 +137,30 @@
 }
 
 impl EvidenceNews {
-    /// Counts of routes that the new version answered on: others know enough of the old one.
-    fn of_new(&self) -> EvidenceNews {
-        let routes = self.routes.iter();
-        EvidenceNews {
-            routes: routes
-                .filter(|(_, counts)| counts.new.answers > 0)
-                .map(|(route, counts)| (*route, *counts))
-                .collect(),
-            ..*self
-        }
-    }
-
-    /// Whether the new version answered.
-    fn has_new(&self) -> bool {
-        let mut routes = self.routes.values();
-        routes.any(|counts| counts.new.answers > 0)
-    }
-
-    /// Bytes that it takes to tell them, about.
-    fn bytes(&self) -> usize {
-        ROUTER_BYTES + ROUTE_BYTES * self.routes.len()
-    }
-
     /// Answers of the new version that failed or were slow.
     fn bad(&self) -> u32 {
-        self.routes.values().map(|counts| counts.new.bad()).sum()
-    }
-
-    /// The same of the old version.
-    fn bad_of_old(&self) -> u32 {
-        self.routes.values().map(|counts| counts.old.bad()).sum()
+        let counts = self.routes.values().map(|counts| counts.new);
+        counts.map(|new| new.failed.saturating_add(new.slow)).sum()
     }
 }
 
-/// Counts of another router.
-#[derive(Clone, Debug, Default)]
-struct KnownEvidence {
-    news: EvidenceNews,
-    /// How often they were told since the new version answered there.
-    told: u32,
-}
-
 /// Counts of the whole fleet as far as one router knows them.
 #[derive(Clone, Debug)]
 pub struct FleetEvidence {
-    router: u32,
-    /// Number of the count that is under way.
-    number: u32,
     own: EvidenceNews,
-    others: BTreeMap<u32, KnownEvidence>,
+    others: BTreeMap<u32, EvidenceNews>,
     /// Sums of all counts.
     totals: RouteCounts,
     /// Others with new bad answers, the newest last.
     newest: Vec<u32>,
-    /// Place of the own route to be told next.
-    own_turn: usize,
+    /// Place of the next one to be told in turn.
+    turn: usize,
 }
 
 impl FleetEvidence {
     /// Nothing is counted; `router` is the incarnation of this one.
     pub fn new(router: u32) -> Self {
         FleetEvidence {
-            router,
-            number: 0,
             own: EvidenceNews {
                 router,
                 ..EvidenceNews::default()
@@ -225,27 +168,7 @@
             others: BTreeMap::new(),
             totals: RouteCounts::new(),
             newest: Vec::new(),
-            own_turn: 0,
-        }
-    }
-
-    /// Counts anew from now on, as another router would: those who hear of this one late do not
-    /// take what was long ago for what is now.
-    pub fn begin_count(&mut self, number: u32) {
-        if number <= self.number {
-            return;
-        }
-        self.number = number;
-        let name = [self.router.to_be_bytes(), number.to_be_bytes()].concat();
-        let next = EvidenceNews {
-            router: xxh3_64(&name) as u32,
-            ..EvidenceNews::default()
-        };
-        let news = std::mem::replace(&mut self.own, next);
-        self.own_turn = 0;
-        if news.counted > 0 && self.others.len() < MOST_ROUTERS {
-            let known = KnownEvidence { news, told: 0 };
-            self.others.insert(known.news.router, known);
+            turn: 0,
         }
     }
 
@@ -266,57 +189,34 @@
         self.own.counted += 1;
     }
 
-    /// This router's own bad answers, of the new version or of both.
-    pub fn own_bad(&self, of_both: bool) -> u32 {
-        match of_both {
-            true => self.own.bad() + self.own.bad_of_old(),
-            false => self.own.bad(),
-        }
-    }
-
     /// Takes the counts of another router. Returns whether they are news.
     pub fn merge(&mut self, news: &EvidenceNews) -> bool {
         if news.router == self.own.router {
             return false;
         }
-        if !self.others.contains_key(&news.router) && self.others.len() >= MOST_ROUTERS {
+        let known = self.others.get(&news.router);
+        if known.is_some_and(|known| known.counted >= news.counted) {
             return false;
         }
-        let entry = self.others.entry(news.router).or_default();
-        let known = &mut entry.news;
-        known.router = news.router;
-        let bad = known.bad();
-        let mut is_news = false;
-        for (route, counts) in &news.routes {
-            if !known.routes.contains_key(route) && known.routes.len() > MOST_ROUTES {
-                continue;
-            }
-            let before = known.routes.entry(*route).or_default();
-            if before.answers() >= counts.answers() {
-                continue;
-            }
-            if counts.new.answers > before.new.answers {
-                entry.told = 0;
-            }
-            let total = self.totals.entry(*route).or_default();
-            total.add(&counts.since(before));
-            *before = *counts;
-            is_news = true;
+        if known.is_none() && self.others.len() >= MOST_ROUTERS {
+            return false;
         }
-        known.counted = known.counted.max(news.counted);
-        if known.bad() > bad {
+        if news.bad() > known.map_or(0, EvidenceNews::bad) {
             self.newest.retain(|router| *router != news.router);
             self.newest.push(news.router);
             if self.newest.len() > TOLD_NEWEST {
                 self.newest.remove(0);
             }
         }
-        is_news
-    }
-
-    /// Routers that counted, as far as is known, this one included: at least so many.
-    pub fn routers(&self) -> usize {
-        self.others.len() / (self.number as usize + 1) + 1
+        let nothing = RouteCounts::new();
+        let before = known.map_or(&nothing, |known| &known.routes);
+        for (route, counts) in &news.routes {
+            let before = before.get(route).copied().unwrap_or_default();
+            let total = self.totals.entry(*route).or_default();
+            total.add(&counts.since(&before));
+        }
+        self.others.insert(news.router, news.clone());
+        true
     }
 
     /// Counts of all routers that are known.
@@ -324,50 +224,26 @@
         &self.totals
     }
 
-    /// Counts to tell others: own ones, those with the newest bad answers, and some in turn.
+    /// Counts to tell others: the own ones, those with the newest bad answers, and some in turn.
     pub fn told(&mut self) -> Vec<EvidenceNews> {
         let mut told = Vec::new();
         if self.own.counted > 0 {
-            told.push(self.told_own());
+            told.push(self.own.clone());
         }
         let newest = self.newest.iter().rev();
-        told.extend(newest.filter_map(|router| Some(self.others.get(router)?.news.of_new())));
-        let mut room = TOLD_BYTES.saturating_sub(told.iter().map(EvidenceNews::bytes).sum());
-        let newest = &self.newest;
-        let rest = self.others.values_mut();
-        let mut rest: Vec<&mut KnownEvidence> = rest
-            .filter(|known| !newest.contains(&known.news.router))
-            .collect();
-        // What was told most seldom is what others know least.
-        rest.sort_by_key(|known| (!known.news.has_new(), known.told));
-        for known in rest {
-            let news = match known.news.has_new() {
-                true => known.news.of_new(),
-                false => known.news.clone(),
-            };
-            let bytes = news.bytes();
-            if bytes > room {
-                break;
-            }
-            room -= bytes;
-            known.told = known.told.saturating_add(1);
-            told.push(news);
-        }
+        told.extend(newest.filter_map(|router| self.others.get(router).cloned()));
+        let is_told = |news: &&EvidenceNews| self.newest.contains(&news.router);
+        let rest: Vec<&EvidenceNews> = self.others.values().filter(|news| !is_told(news)).collect();
+        let count = rest.len().min(TOLD_IN_TURN);
+        let first = self.turn.checked_rem(rest.len()).unwrap_or(0);
+        told.extend(
+            rest.iter()
+                .cycle()
+                .skip(first)
+                .take(count)
+                .map(|news| (*news).clone()),
+        );
+        self.turn = self.turn.wrapping_add(count);
         told
     }
-
-    /// Own counts of as many routes as are told at once.
-    fn told_own(&mut self) -> EvidenceNews {
-        let routes = self.own.routes.iter();
-        let count = self.own.routes.len();
-        let told = routes
-            .cycle()
-            .skip(self.own_turn)
-            .take(count.min(TOLD_OWN_ROUTES));
-        let routes = told.map(|(route, counts)| (*route, *counts)).collect();
-        if count > TOLD_OWN_ROUTES {
-            self.own_turn = (self.own_turn + TOLD_OWN_ROUTES) % count;
-        }
-        EvidenceNews { routes, ..self.own }
-    }
 }
--- a/crates/stacktack-core/src/direct/rollout/harm.rs
+++ b/crates/stacktack-core/src/direct/rollout/harm.rs
@@ -1,11 +1,11 @@
 //! Whether a new version answers worse than the old one: sequential tests over the counts
 //! of the fleet.
 //!
-//! For each route and for all together, errors and slowness each move a score by the
+//! For each route and for all together, errors and slowness each move two scores by the
 //! logarithm of how much likelier an answer is of a harmful version than of one that is
-//! like the old (SPRT). It never falls below zero (CUSUM), so that a version that turns bad
-//! late is found as soon as one that is bad at once. What speaks for a version are its last
-//! answers. What is usual is the old version's share of late, and since the
+//! like the old (SPRT). One score never falls below zero (CUSUM), so that a version that
+//! turns bad late is found as soon as one that is bad at once; the other adds up all that
+//! speaks for the version. What is usual is the old version's share of late, and since the
 //! score began to rise: what strikes both versions alike speaks against neither.
 
 use std::collections::BTreeMap;
@@ -15,20 +15,11 @@
 /// Score from which a version is harmful: 10,000 times likelier harmful than not.
 const HARMFUL: f64 = 9.2;
 
-/// Score from which a version gets no more than before: 90 times likelier.
-const SUSPICIOUS: f64 = 4.5;
-
-/// Score from which the old version's bad answers are told at once too.
-const RISING: f64 = 2.5;
-
-/// Score from which a version may get a trial: 3 times likelier.
-const PROMISING: f64 = -1.0;
-
 /// Score from which a version is good over all routes together: 20 times likelier.
 const GOOD: f64 = -3.0;
 
 /// The same on each single route.
-const GOOD_ON_ROUTE: f64 = -1.0;
+const GOOD_ON_ROUTE: f64 = -2.0;
 
 /// Share of the old version's answers from which a route has to be proved by itself.
 const ROUTE_SHARE: f64 = 0.05;
@@ -58,9 +49,6 @@
 /// Answers of the old version that the usual share is taken over.
 const USUAL_ANSWERS: f64 = 200.0;
 
-/// Answers of the new version that it is judged good by.
-const LATE_ANSWERS: f64 = 60.0;
-
 /// Answers without a bad one that are assumed before the first.
 const ASSUMED_ANSWERS: f64 = 10.0;
 
@@ -137,22 +125,6 @@
         found.or(together)
     }
 
-    /// Whether answers of late may be those of a harmful version.
-    pub fn is_suspicious(&self) -> bool {
-        let routes = self.routes.values();
-        routes.chain([&self.together]).any(RouteTest::is_suspicious)
-    }
-
-    /// Whether bad answers of the new version are many of late.
-    pub fn is_rising(&self) -> bool {
-        self.together.errors.score.max(self.together.slowness.score) >= RISING
-    }
-
-    /// Whether the counts so far speak for a trial of the version.
-    pub fn is_promising(&self) -> bool {
-        self.together.is_good(PROMISING)
-    }
-
     /// Whether the counts so far speak for the version: over all routes together, and on
     /// each that gets much of the traffic if `on_each` is asked for.
     pub fn is_good(&self, on_each: bool) -> bool {
@@ -193,12 +165,8 @@
         is_slow.then_some(HarmKind::Slowness)
     }
 
-    fn is_suspicious(&self) -> bool {
-        self.errors.suspicion() >= SUSPICIOUS || self.slowness.suspicion() >= SUSPICIOUS
-    }
-
     fn is_good(&self, score: f64) -> bool {
-        self.errors.of_late() <= score && self.slowness.of_late() <= score
+        self.errors.sum <= score && self.slowness.sum <= score
     }
 }
 
@@ -245,13 +213,10 @@
 /// Test of one share of bad answers.
 #[derive(Clone, Copy, Debug, Default)]
 struct ShareTest {
-    /// The old version's answers of late, and the last ones: what strikes both versions shows
-    /// there first.
+    /// The old version's answers of late.
     usual: Share,
-    last: Share,
     score: f64,
-    /// The new version's last answers.
-    new: Share,
+    sum: f64,
     /// Answers of both versions since the score was zero.
     rising: Share,
     rising_old: Share,
@@ -264,8 +229,6 @@
     fn take_usual(&mut self, old: (u32, u32), all: (u32, u32)) {
         self.usual.add(old.0, old.1);
         self.usual.keep(USUAL_ANSWERS);
-        self.last.add(old.0, old.1);
-        self.last.keep(MEANWHILE_ANSWERS);
         self.rising_old.add(old.0, old.1);
         self.rising_old.keep(MEANWHILE_ANSWERS);
         self.rising_all.add(all.0, all.1);
@@ -276,9 +239,8 @@
     fn take(&mut self, bad: u32, answers: u32) -> bool {
         let mut news = Share::default();
         news.add(bad, answers);
-        let step = news.score(self.usual_share());
-        self.new.add(bad, answers);
-        self.new.keep(LATE_ANSWERS);
+        let step = news.score(self.usual.value());
+        self.sum += step;
         self.score = (self.score + step).max(0.0);
         if self.score == 0.0 {
             self.rising = Share::default();
@@ -290,36 +252,13 @@
         self.score >= HARMFUL && self.is_confirmed()
     }
 
-    /// Score of the new version's last answers. Bad ones of either version arrive early, those
-    /// of the old one from fewer routers: some more of them may be usual than show.
-    fn of_late(&self) -> f64 {
-        let last = Some(self.last).filter(|last| last.answers >= COMPARED_ANSWERS);
-        let likely = last.map_or(0.0, |last| last.upper_value());
-        self.new.score(self.usual_share().max(likely))
-    }
-
-    /// Score since it was zero, compared with what the old version did meanwhile.
-    fn suspicion(&self) -> f64 {
-        let meanwhile = self.meanwhile();
-        let likely = meanwhile.map_or(0.0, |old| old.upper_value());
-        self.rising.score(self.usual_share().max(likely))
-    }
-
-    /// The old version's answers meanwhile, on this route or on all, once enough are known.
-    fn meanwhile(&self) -> Option<Share> {
-        [self.rising_old, self.rising_all]
-            .into_iter()
-            .find(|old| old.answers >= COMPARED_ANSWERS)
-    }
-
-    /// The share of bad answers that is usual.
-    fn usual_share(&self) -> f64 {
-        self.usual.value().max(self.last.value())
-    }
-
     /// Whether the new version does worse than the old one did meanwhile.
     fn is_confirmed(&self) -> bool {
-        let needed = self.meanwhile().map_or(UNCOMPARED * HARMFUL, |_| HARMFUL);
-        self.suspicion() >= needed
+        let compared = [self.rising_old, self.rising_all]
+            .into_iter()
+            .find(|old| old.answers >= COMPARED_ANSWERS);
+        let meanwhile = compared.map_or(0.0, |old| old.upper_value());
+        let score = self.rising.score(self.usual.value().max(meanwhile));
+        score >= compared.map_or(UNCOMPARED * HARMFUL, |_| HARMFUL)
     }
 }
--- a/crates/stacktack-core/src/direct/rollout/mod.rs
+++ b/crates/stacktack-core/src/direct/rollout/mod.rs
@@ -136,8 +136,6 @@
     bound: Option<ExposureBound>,
     /// Place of this router among those that write, of those it knows.
     rank: usize,
-    /// Number of routers, this one included, once it is known.
-    routers: Option<usize>,
     services: BTreeMap<String, RunningRollout>,
     /// Versions that get nothing, by service.
     withheld: BTreeMap<String, BTreeSet<String>>,
@@ -152,18 +150,15 @@
             router,
             bound,
             rank: 0,
-            routers: None,
             services: BTreeMap::new(),
             withheld: BTreeMap::new(),
         })
     }
 
-    /// Sets the bound, the place of this router among those that write, and their number once
-    /// it is known.
-    pub fn set(&mut self, bound: Option<ExposureBound>, rank: usize, routers: Option<usize>) {
+    /// Sets the bound, and the place of this router among those that write.
+    pub fn set(&mut self, bound: Option<ExposureBound>, rank: usize) {
         self.bound = bound;
         self.rank = rank;
-        self.routers = routers;
     }
 
     /// Whether nothing is known.
@@ -232,10 +227,12 @@
     }
 
     /// A request goes to a back end of the new version, or reached one of another.
-    pub fn on_send(&mut self, service: &str, version: &str, now: Time) {
-        if let (Some(rollout), Some(bound)) = (self.services.get_mut(service), &self.bound) {
-            let is_new = rollout.order.version == version;
-            rollout.on_send(bound, is_new, now);
+    pub fn on_send(&mut self, service: &str, version: &str) {
+        if let Some(rollout) = self.services.get_mut(service) {
+            match rollout.order.version == version {
+                true => rollout.exposure.on_new(),
+                false => rollout.exposure.on_old(),
+            }
         }
     }
 
@@ -257,26 +254,12 @@
     /// Judges what is known now.
     pub fn tick(&mut self, now: Time) -> Vec<RolloutChange> {
         let mut changes = Vec::new();
-        let Some(bound) = self.bound else {
-            return changes;
-        };
         for rollout in self.services.values_mut() {
-            changes.extend(rollout.judge(&bound, self.routers, self.rank, &self.chart, now));
+            changes.extend(rollout.judge(self.rank, &self.chart, now));
         }
         self.after(changes)
     }
 
-    /// Whether others are to hear at once of bad answers that this router saw since it was
-    /// last asked.
-    pub fn takes_push(&mut self) -> bool {
-        let rollouts = self.services.values_mut();
-        rollouts
-            .map(RunningRollout::takes_push)
-            .filter(|is_due| *is_due)
-            .count()
-            > 0
-    }
-
     /// Takes what a peer tells. Returns what became of orders that are new here, and what
     /// changed.
     pub fn merge(
--- a/crates/stacktack-core/src/direct/rollout/running.rs
+++ b/crates/stacktack-core/src/direct/rollout/running.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::evidence::{AnswerCounts, AnswerGrade, FleetEvidence, RouteHash};
-use super::exposure::{Exposure, ExposureBound, COMPLETE_FROM, TRIAL_FROM};
+use super::exposure::{Exposure, ExposureBound};
 use super::harm::HarmTest;
 use super::order::RolloutOrder;
 use super::progress::{Progress, RolloutAction, RolloutChart, RolloutEvent};
@@ -14,21 +14,24 @@
 use super::{RolloutCause, RolloutChange, VersionSide};
 use crate::time::Time;
 
-/// Parts of an order's time: from when a version may be proved good so far, ...
-const PROVED_FROM: f64 = 0.45;
+/// Shares of an order's time: from when the whole traffic may be tried, from when it may
+/// go to the new version for good, ...
+const TRIAL_FROM: f64 = 0.45;
+const WHOLE_FROM: f64 = 0.6;
 
 /// ... until when each route has to be proved by itself, ...
-const EACH_ROUTE_UNTIL: f64 = COMPLETE_FROM;
+const EACH_ROUTE_UNTIL: f64 = 0.6;
 
-/// ... and when what is not proved is given up.
-const EXPIRES: f64 = 0.95;
+/// ... from when it is completed, after the whole traffic went there for a time, ...
+const COMPLETE_FROM: f64 = 0.85;
+const LEAST_WHOLE: f64 = 0.15;
 
-/// Part of an order's time after which answers are counted anew.
-const COUNTED_FOR: f64 = 0.2;
+/// ... from when none goes to the old version any more, so that what runs there ends before
+/// its back ends stop, ...
+const CONTROL_UNTIL: f64 = 0.72;
 
-/// Part of an order's time in which the outcome is stored, beyond which the whole traffic goes
-/// to the new version no longer: the saved share is spent.
-const STORED_WITHIN: f64 = 0.01;
+/// ... and when what is not proved is given up.
+const EXPIRES: f64 = 0.95;
 
 /// Time between the writes that routers plan, one after the other: the first one's reaches
 /// most others meanwhile.
@@ -45,21 +48,6 @@
 /// Time for which others are told of a roll-out whose outcome is stored.
 const TELL_DECIDED: Duration = Duration::from_secs(30);
 
-/// Answers that wait until it is known what is usual on their routes, ...
-const MOST_UNGRADED: usize = 256;
-
-/// ... until this part of the order's time.
-const GRADED_UNTIL: f64 = 0.5;
-
-/// An answer of which it is not known whether it is slow.
-#[derive(Clone, Copy, Debug)]
-struct Ungraded {
-    route: RouteHash,
-    is_new: bool,
-    took: Duration,
-    wanted: SpeedWanted,
-}
-
 /// One roll-out.
 #[derive(Debug)]
 pub(super) struct RunningRollout {
@@ -78,10 +66,6 @@
     evidence: FleetEvidence,
     /// What the old version's answers take by route, as of the last judgement.
     usual_times: BTreeMap<RouteHash, Duration>,
-    /// Answers of the new version from before it was known what is usual.
-    ungraded: Vec<Ungraded>,
-    /// Own bad answers, of the new version and of both, when this was last asked.
-    pushed_bad: [u32; 2],
     test: HarmTest,
     whole_since: Option<Time>,
     write_due: Option<Time>,
@@ -109,8 +93,6 @@
             exposure: Exposure::new(router),
             evidence: FleetEvidence::new(router),
             usual_times: BTreeMap::new(),
-            ungraded: Vec::new(),
-            pushed_bad: [0; 2],
             test: HarmTest::default(),
             whole_since: None,
             write_due: Some(now + write_delay(rank)),
@@ -127,15 +109,11 @@
         match self.progress {
             _ if self.withdrawn => VersionSide::Old,
             Progress::Unannounced | Progress::Stopped | Progress::RolledBack => VersionSide::Old,
-            Progress::Trial if self.is_tried(bound, now) => {
-                exposed(is_first_try && self.exposure.allows_trial(bound))
-            }
-            Progress::Canary | Progress::Trial => {
-                exposed(is_first_try && self.allows_sample(bound, now))
-            }
+            Progress::Canary => exposed(is_first_try && self.exposure.allows_canary(bound)),
+            Progress::Trial => exposed(is_first_try && self.exposure.allows_trial(bound)),
             Progress::Whole | Progress::Finished => {
-                let is_allowed = !self.is_spent(bound, now) || self.allows_sample(bound, now);
-                exposed(is_first_try && is_allowed)
+                let is_control = self.part(now) < CONTROL_UNTIL && self.exposure.is_control();
+                exposed(is_first_try && !is_control)
             }
             Progress::Completed if self.is_decided_of_late(now, PREFER_COMPLETED) => {
                 VersionSide::New
@@ -144,40 +122,6 @@
         }
     }
 
-    fn allows_sample(&self, bound: &ExposureBound, now: Time) -> bool {
-        self.exposure.allows_sample(bound, self.part(now))
-    }
-
-    /// Part of the order's time for which the whole traffic has gone to the new version.
-    fn whole_for(&self, now: Time) -> f64 {
-        let since = self.whole_since.unwrap_or(now);
-        now.since(since).as_secs_f64() / self.order.duration.as_secs_f64()
-    }
-
-    /// Whether the share that was saved for the whole traffic is spent.
-    fn is_spent(&self, bound: &ExposureBound, now: Time) -> bool {
-        self.whole_for(now) >= bound.whole_part() + STORED_WITHIN
-    }
-
-    /// Whether it is the time of the trial with the whole traffic: the same at all routers.
-    fn is_tried(&self, bound: &ExposureBound, now: Time) -> bool {
-        let part = self.part(now);
-        (TRIAL_FROM..TRIAL_FROM + bound.trial_part()).contains(&part)
-    }
-
-    /// A request goes to a back end of the new version, or reached one of another.
-    pub fn on_send(&mut self, bound: &ExposureBound, is_new: bool, now: Time) {
-        if !is_new {
-            return self.exposure.on_old();
-        }
-        let is_sample = match self.progress {
-            Progress::Trial => !self.is_tried(bound, now),
-            Progress::Whole | Progress::Finished => self.is_spent(bound, now),
-            _ => true,
-        };
-        self.exposure.on_new(is_sample);
-    }
-
     /// Whether back ends of the new version may get requests at all.
     pub fn may_send(&self) -> bool {
         !self.withdrawn && !matches!(self.progress, Progress::Stopped | Progress::RolledBack)
@@ -194,77 +138,26 @@
         if self.progress.is_decided() {
             return;
         }
-        let Some(took) = took else {
-            return self.evidence.count(route, is_new, AnswerGrade::Failed);
-        };
-        let answer = Ungraded {
-            route,
-            is_new,
-            took,
-            wanted,
-        };
-        // Whether it is slow shows only once it is known what is usual.
         let usual = self.usual_times.get(&route).copied();
-        let is_early = usual.is_none() && is_new && !is_slow(took, usual, wanted);
-        if is_early && self.ungraded.len() < MOST_UNGRADED {
-            return self.ungraded.push(answer);
-        }
-        self.grade(answer, usual);
-    }
-
-    /// Whether this router saw bad answers since it was last asked that others are to hear of
-    /// at once: those of the new version, and while these are many those of the old one too,
-    /// so that both are known alike.
-    pub fn takes_push(&mut self) -> bool {
-        let bad = [false, true].map(|of_both| self.evidence.own_bad(of_both));
-        let before = std::mem::replace(&mut self.pushed_bad, bad);
-        let is_told = bad[0] > before[0] || (bad[1] > before[1] && self.test.is_rising());
-        is_told && !self.progress.is_decided()
-    }
-
-    fn grade(&mut self, answer: Ungraded, usual: Option<Duration>) {
-        let grade = AnswerGrade::Whole {
-            took: answer.took,
-            slow: is_slow(answer.took, usual, answer.wanted),
-        };
-        self.evidence.count(answer.route, answer.is_new, grade);
-    }
-
-    /// Grades the answers for which it is known now what is usual; late all of them.
-    fn grade_early(&mut self, now: Time) {
-        let is_late = self.part(now) >= GRADED_UNTIL;
-        for answer in std::mem::take(&mut self.ungraded) {
-            match self.usual_times.get(&answer.route).copied() {
-                None if !is_late => self.ungraded.push(answer),
-                usual => self.grade(answer, usual),
-            }
-        }
+        let grade = took.map_or(AnswerGrade::Failed, |took| AnswerGrade::Whole {
+            took,
+            slow: is_slow(took, usual, wanted),
+        });
+        self.evidence.count(route, is_new, grade);
     }
 
     /// Judges what is known now.
-    pub fn judge(
-        &mut self,
-        bound: &ExposureBound,
-        routers: Option<usize>,
-        rank: usize,
-        chart: &RolloutChart,
-        now: Time,
-    ) -> Vec<RolloutChange> {
+    pub fn judge(&mut self, rank: usize, chart: &RolloutChart, now: Time) -> Vec<RolloutChange> {
         let mut changes = Vec::new();
         if self.progress.is_decided() {
             return changes;
         }
-        let counted = self.evidence.routers();
-        self.exposure
-            .set_routers(routers.map(|routers| routers.max(counted)));
-        self.evidence
-            .begin_count((self.part(now).min(1.0) / COUNTED_FOR) as u32);
-        let times = self.evidence.totals().iter();
+        let totals = self.evidence.totals();
+        let times = totals.iter();
         self.usual_times = times
             .filter_map(|(route, counts)| Some((*route, usual_time(&counts.old)?)))
             .collect();
-        self.grade_early(now);
-        if let Some(harm) = self.test.take(self.evidence.totals()) {
+        if let Some(harm) = self.test.take(totals) {
             self.harmful = true;
             let cause = RolloutCause::Harm(harm);
             changes.extend(self.step(RolloutEvent::Harmed, cause, rank, chart, now));
@@ -276,12 +169,12 @@
                 RolloutCause::Proof,
             ),
             (
-                self.has_passed(bound, now),
+                self.has_passed(now),
                 RolloutEvent::Passed,
                 RolloutCause::Proof,
             ),
             (
-                self.has_lasted(bound, now),
+                self.has_lasted(now),
                 RolloutEvent::Lasted,
                 RolloutCause::Proof,
             ),
@@ -304,21 +197,25 @@
         now.since(self.began).as_secs_f64() / self.order.duration.as_secs_f64()
     }
 
+    fn is_good(&self, now: Time) -> bool {
+        self.test.is_good(self.part(now) < EACH_ROUTE_UNTIL)
+    }
+
     fn is_proved(&self, now: Time) -> bool {
-        self.part(now) >= PROVED_FROM && self.test.is_promising() && !self.test.is_suspicious()
+        self.part(now) >= TRIAL_FROM && self.is_good(now)
     }
 
-    fn has_passed(&self, bound: &ExposureBound, now: Time) -> bool {
-        let part = self.part(now);
-        part >= bound.whole_from()
-            && self.test.is_good(part < EACH_ROUTE_UNTIL)
-            && !self.test.is_suspicious()
+    fn has_passed(&self, now: Time) -> bool {
+        self.part(now) >= WHOLE_FROM && self.is_good(now)
     }
 
-    fn has_lasted(&self, bound: &ExposureBound, now: Time) -> bool {
+    fn has_lasted(&self, now: Time) -> bool {
+        let Some(since) = self.whole_since else {
+            return false;
+        };
+        let whole = now.since(since).as_secs_f64() / self.order.duration.as_secs_f64();
         let part = self.part(now);
-        let is_whole = self.whole_for(now) >= bound.whole_part();
-        part >= EXPIRES || (part >= COMPLETE_FROM && is_whole)
+        part >= EXPIRES || (part >= COMPLETE_FROM && whole >= LEAST_WHOLE)
     }
 
     /// Takes an event; returns the change that follows, if any.
@@ -417,10 +314,7 @@
         let events = [
             (news.harmful, RolloutEvent::Harmed),
             (news.proved, RolloutEvent::Proved),
-            (
-                news.passed && !self.test.is_suspicious(),
-                RolloutEvent::Passed,
-            ),
+            (news.passed, RolloutEvent::Passed),
         ];
         for (told, event) in events {
             if told {
--- a/crates/stacktack-core/src/direct/rollout/speed.rs
+++ b/crates/stacktack-core/src/direct/rollout/speed.rs
@@ -14,7 +14,7 @@
 const MOST_UNITS: f64 = 160.0;
 
 /// Answers from which the usual time of a route is known.
-const LEAST_ANSWERS: u32 = 10;
+const LEAST_ANSWERS: u32 = 20;
 
 /// An answer is slow above this multiple of the usual time.
 const SLOW_FACTOR: f64 = 2.5;
--- a/crates/stacktack-direct/src/rollouts.rs
+++ b/crates/stacktack-direct/src/rollouts.rs
@@ -80,25 +80,18 @@
     /// Judges what is known of versions that are rolled out.
     pub fn judge_rollouts(&self) {
         let now = self.now();
-        let (changes, is_urgent) = {
+        let changes = {
             let mut rollouts = self.rollouts.borrow_mut();
             let Some(rollouts) = rollouts.as_mut() else {
                 return;
             };
-            let peers = self.peers.borrow();
             let rank = match rollouts.is_empty() {
                 true => 0,
-                false => write_rank(self.settings.peers.listen, peers.addresses()),
+                false => write_rank(self.settings.peers.listen, self.peers.borrow().addresses()),
             };
-            let others = peers.addresses().len();
-            let is_known = peers.knows_fleet(now) && peers.alive() * 2 >= others;
-            let routers = is_known.then_some(others + 1);
-            rollouts.set(self.bounds().exposure, rank, routers);
-            (rollouts.tick(now), rollouts.takes_push())
+            rollouts.set(self.bounds().exposure, rank);
+            rollouts.tick(now)
         };
-        if is_urgent {
-            self.push_due.notify_one();
-        }
         self.note_rollout_changes(&changes);
         if !self.rollout_writes().is_empty() {
             self.rollout_write_due.notify_one();
@@ -319,7 +312,7 @@
             is_counted: Cell::new(false),
         };
         if watch.is_new {
-            rollouts.on_send(&watch.service, &watch.version, router.now());
+            rollouts.on_send(&watch.service, &watch.version);
         }
         Some(watch)
     }
@@ -328,7 +321,7 @@
     pub(crate) fn on_write(&self, router: &Router) {
         if !self.is_new {
             if let Some(rollouts) = router.rollouts.borrow_mut().as_mut() {
-                rollouts.on_send(&self.service, &self.version, router.now());
+                rollouts.on_send(&self.service, &self.version);
             }
         }
     }
