--- a/crates/stacktack-direct/src/answer.rs
+++ b/crates/stacktack-direct/src/answer.rs
@@ -3,7 +3,7 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::task::{ready, Context, Poll};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
@@ -14,12 +14,13 @@
 use stacktack_core::direct::request::events::EventSplitter;
 use stacktack_core::direct::traffic::route::RouteKind;
 use thiserror::Error;
-use tokio::time::{sleep_until, Sleep};
+use tokio::time::{sleep_until, Instant, Sleep};
 
 use crate::attempt::Attempt;
 use crate::exchange::{Exchange, Outcome};
+use crate::silence::AnswerProgress;
 
-/// Time without bytes after which a resumable stream is continued elsewhere.
+/// Time without bytes after which a resumable stream is continued elsewhere, if it may be.
 const STALL: Duration = Duration::from_millis(800);
 
 /// Why an answer broke off midway; the caller's connection is closed.
@@ -93,7 +94,11 @@
         attempt: Attempt,
     },
     /// Another back end is asked to continue.
-    Resuming(LocalBoxFuture<'static, Resumed>),
+    Resuming {
+        resumed: LocalBoxFuture<'static, Resumed>,
+        /// The attempt that fell silent: it goes on if nobody else continues.
+        silent: Option<(Incoming, Attempt)>,
+    },
     /// Nothing more comes.
     Ended,
 }
@@ -139,7 +144,7 @@
             splitter: resumable.then(EventSplitter::default),
             status,
             limit,
-            stall: resumable.then(|| Box::pin(sleep_until((Instant::now() + STALL).into()))),
+            stall: resumable.then(|| Box::pin(sleep_until(next_stall()))),
         }
     }
 
@@ -153,8 +158,8 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, AnswerError>>> {
         loop {
-            if let Source::Resuming(future) = &mut self.source {
-                let (mut exchange, resumed) = match future.poll_unpin(context) {
+            if let Source::Resuming { resumed, silent } = &mut self.source {
+                let (exchange, resumed) = match resumed.poll_unpin(context) {
                     Poll::Ready(resumed) => resumed,
                     Poll::Pending => {
                         ready!(self.limit.as_mut().poll(context));
@@ -162,20 +167,9 @@
                         return Poll::Ready(Some(Err(AnswerError::TimeOver)));
                     }
                 };
-                match resumed {
-                    Some((incoming, attempt)) => {
-                        self.source = Source::Sending {
-                            exchange,
-                            incoming,
-                            attempt,
-                        };
-                        self.reset_stall();
-                    }
-                    None => {
-                        exchange.outcome = Outcome::BrokenOff;
-                        self.source = Source::Ended;
-                        return Poll::Ready(Some(Err(AnswerError::BrokenOff)));
-                    }
+                let silent = silent.take();
+                if !self.go_on(exchange, resumed, silent) {
+                    return Poll::Ready(Some(Err(AnswerError::BrokenOff)));
                 }
             }
             match ready!(self.poll_step(context)) {
@@ -202,12 +196,42 @@
         }
     }
 
+    /// Goes on with the attempt that continues the stream, else with the one that fell silent; false if
+    /// there is neither.
+    fn go_on(
+        &mut self,
+        mut exchange: Box<Exchange>,
+        resumed: Option<(Incoming, Attempt)>,
+        silent: Option<(Incoming, Attempt)>,
+    ) -> bool {
+        if let (Some(splitter), Some(_)) = (&mut self.splitter, &resumed) {
+            splitter.discard();
+        }
+        if let (None, Some((_, attempt))) = (&resumed, &silent) {
+            exchange.note_awaited_again(&attempt.back_end);
+        }
+        let Some((incoming, attempt)) = resumed.or(silent) else {
+            exchange.outcome = Outcome::BrokenOff;
+            self.source = Source::Ended;
+            return false;
+        };
+        self.source = Source::Sending {
+            exchange,
+            incoming,
+            attempt,
+        };
+        self.reset_stall();
+        true
+    }
+
     fn poll_step(&mut self, context: &mut Context<'_>) -> Poll<Step> {
         if !self.begun.is_empty() {
             return Poll::Ready(Step::Data(std::mem::take(&mut self.begun)));
         }
         let Source::Sending {
-            incoming, attempt, ..
+            exchange,
+            incoming,
+            attempt,
         } = &mut self.source
         else {
             return Poll::Ready(Step::End);
@@ -234,8 +258,11 @@
             return Poll::Ready(Step::TimeOver);
         }
         if let Some(stall) = &mut self.stall {
-            if stall.as_mut().poll(context).is_ready() {
-                return Poll::Ready(Step::Broken(AttemptFailure::Silent));
+            while stall.as_mut().poll(context).is_ready() {
+                if exchange.leaves_silent_attempt(AnswerProgress::Begun) {
+                    return Poll::Ready(Step::Broken(AttemptFailure::Silent));
+                }
+                stall.as_mut().reset(next_stall());
             }
         }
         Poll::Pending
@@ -243,7 +270,7 @@
 
     fn reset_stall(&mut self) {
         if let Some(stall) = &mut self.stall {
-            stall.as_mut().reset((Instant::now() + STALL).into());
+            stall.as_mut().reset(next_stall());
         }
     }
 
@@ -251,33 +278,34 @@
     fn try_resume(&mut self, failure: AttemptFailure) -> bool {
         let Source::Sending {
             mut exchange,
+            incoming,
             attempt,
-            ..
         } = std::mem::replace(&mut self.source, Source::Ended)
         else {
             return false;
         };
-        if failure == AttemptFailure::Silent {
+        let is_silent = failure == AttemptFailure::Silent;
+        if is_silent {
             attempt.on_unreachable();
         } else {
             attempt.on_failure();
         }
         exchange.look = exchange.note_broken_run(&attempt, failure);
-        drop(attempt);
-        let Some(splitter) = &mut self.splitter else {
+        let silent = is_silent.then_some((incoming, attempt));
+        let Some(splitter) = &self.splitter else {
             exchange.note_failure(failure, "-");
             exchange.outcome = Outcome::BrokenOff;
             return false;
         };
-        splitter.discard();
         let after = splitter.last_id().map(str::to_owned);
-        self.source = Source::Resuming(
-            async move {
-                let resumed = exchange.resume(after.as_deref(), failure).await;
-                (exchange, resumed)
-            }
-            .boxed_local(),
-        );
+        let resumed = async move {
+            let resumed = exchange.resume(after.as_deref(), failure).await;
+            (exchange, resumed)
+        };
+        self.source = Source::Resuming {
+            resumed: resumed.boxed_local(),
+            silent,
+        };
         true
     }
 
@@ -303,3 +331,8 @@
         }
     }
 }
+
+/// When a stream that says nothing from now on is silent for too long.
+fn next_stall() -> Instant {
+    Instant::now() + STALL
+}
--- a/crates/stacktack-direct/src/exchange.rs
+++ b/crates/stacktack-direct/src/exchange.rs
@@ -86,6 +86,8 @@
     pub(crate) look: Option<LookEnd>,
     /// Whether an attempt is under way that may run.
     pub(crate) in_doubt: bool,
+    /// Whether the retry budget granted a repeat that was not written anywhere yet.
+    pub(crate) is_repeat_granted: bool,
     pub(crate) tried: Vec<String>,
     /// Whether its pool took it.
     pub(crate) admitted: bool,
@@ -222,7 +224,7 @@
     }
 
     /// Whether the answer to another attempt has time to become whole before the process ends.
-    fn has_time_for_another(&mut self) -> bool {
+    pub(crate) fn has_time_for_another(&mut self) -> bool {
         self.ends_too_soon = !self.router.has_time_for_another(&self.route, self.limit);
         if self.ends_too_soon {
             log::info!(target: "stop", "id={} another_attempt=false sends={}", self.id, self.ledger.sends);
@@ -264,7 +266,13 @@
         if self.ledger.has_arrived() && self.treatment() >= Treatment::Probation {
             return false;
         }
-        !self.ledger.has_arrived() || self.router.take_retry(&self.id, self.pool())
+        if !self.ledger.has_arrived() {
+            return true;
+        }
+        if !self.is_repeat_granted {
+            self.is_repeat_granted = self.router.take_retry(&self.id, self.pool());
+        }
+        self.is_repeat_granted
     }
 
     /// Streams are passed on at once, other answers when they are whole.
--- a/crates/stacktack-direct/src/router.rs
+++ b/crates/stacktack-direct/src/router.rs
@@ -14,6 +14,7 @@
 use stacktack_core::direct::back_ends::slow_start::KnownFleet;
 use stacktack_core::direct::back_ends::zone_drain::ZoneDrains;
 use stacktack_core::direct::back_ends::BackEnds;
+use stacktack_core::direct::choice::part_shares::PartShares;
 use stacktack_core::direct::choice::places::PrefixPlaces;
 use stacktack_core::direct::peers::hand_over::HandOvers;
 use stacktack_core::direct::peers::peer_news::{ShortId, ZoneHash};
@@ -90,6 +91,8 @@
     pub places: RefCell<PrefixPlaces>,
     /// Room of each pool.
     admissions: RefCell<HashMap<String, PoolAdmission>>,
+    /// Prompt parts of requests of late, by the name of their pool.
+    part_shares: RefCell<HashMap<String, PartShares>>,
     /// Pools that requests came for, by name.
     pools: RefCell<HashMap<String, KnownPool>>,
     /// The other routers.
@@ -134,6 +137,8 @@
     pub(crate) planned_stop: Cell<Option<PlannedStop>>,
     /// Requests under way that were taken while nobody else served, after callers had looked away.
     pub(crate) taken_as_last: Cell<usize>,
+    /// Requests whose bodies are being read.
+    pub(crate) arriving: Cell<usize>,
     /// Callers' connections whose last answer may not have left yet.
     pub(crate) answering: Cell<usize>,
     /// How long requests took of late, by route.
@@ -198,6 +203,7 @@
             connections: RefCell::default(),
             places: RefCell::default(),
             admissions: RefCell::default(),
+            part_shares: RefCell::default(),
             pools: RefCell::default(),
             peers: RefCell::new(peers),
             directories_handed: RefCell::default(),
@@ -221,6 +227,7 @@
             phase: watch::Sender::new(Phase::Serving),
             planned_stop: Cell::default(),
             taken_as_last: Cell::new(0),
+            arriving: Cell::new(0),
             answering: Cell::new(0),
             run_times: RefCell::default(),
             store_lost: Cell::new(false),
@@ -443,6 +450,12 @@
         act(admissions.entry(pool.to_owned()).or_default())
     }
 
+    /// Acts on what is known of the prompt parts of a pool's requests.
+    pub fn with_part_shares<T>(&self, pool: &str, act: impl FnOnce(&mut PartShares) -> T) -> T {
+        let mut shares = self.part_shares.borrow_mut();
+        act(shares.entry(pool.to_owned()).or_default())
+    }
+
     /// Routers that send to the same pools, this one among them.
     pub fn routers(&self) -> usize {
         self.peers.borrow().alive() + 1
