--- a/crates/stacktack-core/tests/welcome.rs
+++ b/crates/stacktack-core/tests/welcome.rs
@@ -156,7 +156,7 @@
         let other = if self.routers[number].knew.is_some() {
             OTHER_BYTES
         } else {
-            20
+            AGE_BYTES
         };
         self.send(number, outgoing, other);
     }
