--- a/crates/stacktack-core/src/direct/choice/mod.rs
+++ b/crates/stacktack-core/src/direct/choice/mod.rs
@@ -1,6 +1,7 @@
 //! Which back end a request goes to.
 //!
 //! - [`prompt`]: the chain of prompt parts that a request announces.
+//! - [`part_shares`]: how large a share of a router's requests has the same part.
 //! - [`places`]: where prompt parts were last read.
 //! - [`select`]: the choice, a pure function over a snapshot.
 
--- a/crates/stacktack-direct/src/lib.rs
+++ b/crates/stacktack-direct/src/lib.rs
@@ -10,8 +10,10 @@
 //! - [`app`]: start and signals; `stopping`: the end after a stop signal.
 //! - `server`: callers' connections. `connection`: back-end connections.
 //! - `admission`, `exchange`, `sending`, `candidates`, `choice`, `attempt`: one request from
-//!   head to end; `room`: whether its pool and the router take it; `back_end_end`: whether
-//!   what broke an attempt was the end of its back end; `quarantine`: requests that end back ends; [`rollouts`]: versions that are rolled out. `held`, `respond`, `answer`, `unread`: answers on their way to callers.
+//!   head to end; `room`: whether its pool and the router take it; `silence`: whether an attempt
+//!   is left for another one; `back_end_end`: whether what broke an attempt was the end of its back
+//!   end; `quarantine`: requests that end back ends; [`rollouts`]: versions that are rolled out.
+//!   `held`, `respond`, `answer`, `unread`: answers on their way to callers.
 //! - [`followers`]: configuration and directory. `news`, [`datagram`]: what routers tell each
 //!   other; [`knowledge`]: what they hand to each other. [`calls`] and
 //!   [`transfer`]: calls under way and how far their answers have come. [`router`]: state of the process; `zone_drains`: zones that get nothing;
