Newcomers that are gone are not told any more

What callers would see: a router process that ends. One without seeds, away from its store for 30 s while its only peer came and went, kept that peer among the newcomers after its address was dropped. Once it knew both sources again, its next push drew an address out of none and panicked ("cannot sample empty range"). Found by reading; the test showed the panic before.

A newcomer is dropped together with the peer that it is.

--- a/crates/stacktack-core/src/direct/peers/mod.rs
+++ b/crates/stacktack-core/src/direct/peers/mod.rs
@@ -476,6 +476,8 @@
         let patience = SILENT_AFTER.max(self.round().mul_f64(SILENT_ROUNDS));
         self.peers
             .retain(|_, peer| now.since(peer.heard) < patience);
+        let peers = &self.peers;
+        self.newcomers.retain(|one| peers.contains_key(one));
         let (seeds, known) = (&self.seeds, &self.heard_or_learned);
         let keep = patience.max(KEEP_ADDRESS);
         self.addresses.retain(|address| {
--- a/crates/stacktack-core/tests/peers.rs
+++ b/crates/stacktack-core/tests/peers.rs
@@ -285,3 +285,24 @@
         println!("routers={count} sure={}", sure.count());
     }
 }
+
+/// A router that was away from the store while its only peer came and went ended when it knew again.
+#[test]
+fn a_newcomer_that_is_gone_is_not_told() {
+    let mut router = peers(1, &[]);
+    let mut newcomer = peers(2, &[1]);
+    let knows_nothing = OwnNews::default();
+    for datagram in newcomer.tick(&knows_nothing, at(100)) {
+        router.receive(&datagram.news, at(100));
+    }
+    assert!(router.has_newcomers());
+    router.tick(&knows_nothing, at(60_000));
+    assert!(!router.has_newcomers());
+    let knows = OwnNews {
+        configuration: 1,
+        directory: 1,
+        ..OwnNews::default()
+    };
+    let mut random = rand::rng();
+    assert!(router.push(&knows, true, &mut random).is_empty());
+}
