Peers: newcomers have a module of their own

What is told to newcomers, and when again, moves to `newcomers`, as `whom_to_ask` did; the drawn ones are cut off the list in place of searched for in it. Draws and tests are the same.

--- a/crates/stacktack-core/src/direct/peers/mod.rs
+++ b/crates/stacktack-core/src/direct/peers/mod.rs
@@ -11,6 +11,7 @@
 
 pub mod hand_over;
 pub mod knowledge_age;
+mod newcomers;
 pub mod peer_news;
 mod whom_to_ask;
 
@@ -18,9 +19,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use rand::seq::{IndexedRandom, SliceRandom};
+use rand::seq::IndexedRandom;
 use rand::{Rng, RngExt};
 
+use crate::direct::peers::newcomers::{knows_both, Welcomes};
 use crate::direct::peers::peer_news::{OwnNews, PeerNews, ShortId, ZoneHash};
 use crate::time::Time;
 
@@ -84,18 +86,6 @@
 /// the next datagrams of the rest.
 const PUSHED_TO: usize = 3;
 
-/// Newcomers that wait to be told news at once.
-const MAXIMUM_NEWCOMERS: usize = 64;
-
-/// Time after which a newcomer that was told and still knows nothing is told again, at first.
-const WELCOME_AGAIN: Duration = Duration::from_millis(100);
-
-/// How much longer it takes each time.
-const WELCOME_GROWTH: u32 = 4;
-
-/// Times that it takes longer.
-const MOST_GROWTHS: u32 = 5;
-
 /// Age up to which what a peer tells of its source counts: three others or more are heard meanwhile, however
 /// large the fleet is.
 const STATE_AGE: Duration = Duration::from_millis(500);
@@ -109,10 +99,6 @@
 /// Bytes that may be saved up, in seconds of the budget.
 const BURST_SECONDS: f64 = 1.0;
 
-/// Bytes that newcomers are told on credit, in seconds of the budget: rounds leave none. Where all start at
-/// once, each that is told tells others; rounds wait meanwhile.
-const CREDIT_FOR_NEWCOMERS: f64 = 0.5;
-
 #[derive(Clone, Debug)]
 struct Peer {
     incarnation: u32,
@@ -126,34 +112,6 @@
     welcomes: Welcomes,
 }
 
-/// How often a peer that knew nothing was told so far.
-#[derive(Clone, Copy, Debug, Default)]
-struct Welcomes {
-    count: u32,
-    last: Time,
-}
-
-impl Welcomes {
-    /// Whether it is to be told again, later each time.
-    fn is_due(self, now: Time) -> bool {
-        let pause = match self.count {
-            0 => Duration::ZERO,
-            count => WELCOME_AGAIN * WELCOME_GROWTH.pow(count.min(MOST_GROWTHS) - 1),
-        };
-        now.since(self.last) >= pause
-    }
-
-    fn note(&mut self, now: Time) {
-        self.count += 1;
-        self.last = now;
-    }
-}
-
-/// Whether a router has heard of the configuration and of the directory.
-fn knows_both(configuration: u64, directory: u64) -> bool {
-    configuration > 0 && directory > 0
-}
-
 /// A datagram to send.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Outgoing {
@@ -319,33 +277,11 @@
         Outgoing { to, news }
     }
 
-    /// The newcomers to tell now. They are drawn: those who tell the same ones do not all begin with the
-    /// same.
-    fn welcome(&mut self, random: &mut impl Rng) -> Vec<SocketAddr> {
-        let credit = self.bytes_per_second * CREDIT_FOR_NEWCOMERS;
-        let count = self.affordable(credit).min(self.newcomers.len());
-        let waiting = &mut self.newcomers;
-        let (drawn, _) = waiting.partial_shuffle(random, count);
-        let drawn = drawn.to_vec();
-        self.newcomers.retain(|one| !drawn.contains(one));
-        for newcomer in &drawn {
-            if let Some(peer) = self.peers.get_mut(newcomer) {
-                peer.welcomes.note(self.last_tick);
-            }
-        }
-        drawn
-    }
-
     /// Datagrams that the bytes saved, and so many more, are enough for.
     fn affordable(&self, more: f64) -> usize {
         ((self.saved_bytes + more) / self.datagram_bytes).max(0.0) as usize
     }
 
-    /// Whether newcomers wait to be told.
-    pub fn has_newcomers(&self) -> bool {
-        !self.newcomers.is_empty()
-    }
-
     /// Steps from one address to the next to tell, so that each gets its turn: of its own
     /// for each router. Routers that all told the next one handed news on along a line:
     /// from one to all of 23 routers it took 1.4 to 2.3 s in place of 0.9 to 1.5, to all of
@@ -429,20 +365,6 @@
         joined
     }
 
-    /// A router that lacks a source waits to be told. One that was told may not have heard it, or may be
-    /// unable to learn.
-    fn note_newcomer(&mut self, news: &PeerNews, welcomes: Welcomes, now: Time) {
-        if knows_both(news.configuration, news.directory) {
-            self.newcomers.retain(|one| *one != news.from);
-            return;
-        }
-        let waits = self.newcomers.contains(&news.from);
-        let is_full = self.newcomers.len() >= MAXIMUM_NEWCOMERS;
-        if !waits && !is_full && welcomes.is_due(now) {
-            self.newcomers.push(news.from);
-        }
-    }
-
     fn note_serving(&mut self, news: &PeerNews, now: Time) {
         if news.serving {
             self.stopped.remove(&news.from);
