Peers: how a fetch ended is told by its error

An enum of three ends stood beside the error that decided it, and two of them were treated alike. The follower asks the next peer at once where the error is that there is no room, as before; the tests of followers pass unchanged.

--- a/crates/stacktack-direct/src/followers/peers.rs
+++ b/crates/stacktack-direct/src/followers/peers.rs
@@ -47,17 +47,6 @@
     Directory,
 }
 
-/// How a call to a peer ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Fetched {
-    /// It was answered.
-    Answer,
-    /// The peer tells too many at the moment.
-    NoRoom,
-    /// It failed.
-    Nothing,
-}
-
 /// Learns from peers about one subject.
 struct PeerFollower {
     router: Rc<Router>,
@@ -79,7 +68,7 @@
             }
             self.note_behind();
             while let Some(peer) = self.whom_to_ask() {
-                if self.fetch(peer).await != Fetched::NoRoom {
+                if self.fetch(peer).await != Err(SourceError::NoRoom) {
                     break;
                 }
                 self.wait_for_room().await;
@@ -156,7 +145,7 @@
     }
 
     /// Fetches what a peer knows beyond this router.
-    async fn fetch(&mut self, peer: SocketAddr) -> Fetched {
+    async fn fetch(&mut self, peer: SocketAddr) -> Result<(), SourceError> {
         let transfer = Transfer::begin();
         let known = match self.subject {
             Subject::Configuration => Known::Configuration(self.router.version()),
@@ -184,27 +173,27 @@
                     self.take_directory(delta);
                 }
                 self.router.take_claims();
-                Fetched::Answer
+                Ok(())
             }
             Err(error) => {
                 log::info!(
                     target: "peers",
                     "peer={peer} fetched=false cause=\"{error}\" bytes={bytes} ms={ms}"
                 );
-                self.pass_by(peer, error).await
+                self.pass_by(peer, error).await;
+                Err(error)
             }
         }
     }
 
     /// A peer told nothing.
-    async fn pass_by(&mut self, peer: SocketAddr, error: SourceError) -> Fetched {
+    async fn pass_by(&mut self, peer: SocketAddr, error: SourceError) {
         if error == SourceError::NoRoom {
             self.passed_by.push(peer);
-            return Fetched::NoRoom;
+            return;
         }
         self.passed_by = vec![peer];
         sleep(LOOK).await;
-        Fetched::Nothing
     }
 
     /// Takes a configuration over, if the changes are from the version in force: the
