One guard counts what is under way

Open connections and bodies that are being read were counted by two guards of the same shape. `Counted` serves both: one more until it is dropped. Nothing else changes.

--- a/crates/stacktack-direct/src/admission.rs
+++ b/crates/stacktack-direct/src/admission.rs
@@ -15,6 +15,7 @@
 use stacktack_core::time::Time;
 
 use crate::answer::AnswerBody;
+use crate::counted::Counted;
 use crate::exchange::{Exchange, Outcome};
 use crate::ports::{CallerRequest, RefusalKind};
 use crate::quarantine::digest_of;
@@ -42,22 +43,6 @@
     version: u64,
 }
 
-/// A request whose body is being read; a process that stops waits for it.
-struct Arriving(Rc<Router>);
-
-impl Arriving {
-    fn begin(router: Rc<Router>) -> Self {
-        router.arriving.set(router.arriving.get() + 1);
-        Arriving(router)
-    }
-}
-
-impl Drop for Arriving {
-    fn drop(&mut self) {
-        self.0.arriving.set(self.0.arriving.get() - 1);
-    }
-}
-
 async fn admit(
     router: &Rc<Router>,
     started: Time,
@@ -91,7 +76,8 @@
     if !router.may_take(&id_text, &route, limit) {
         return Err(refused(RefusalKind::Stopping));
     }
-    let arriving = Arriving::begin(router.clone());
+    // A process that stops waits for it.
+    let arriving = Counted::begin(router.clone(), |router| &router.arriving);
     let limited = Limited::new(body, configuration.limits.body_bytes);
     let collected = tokio::select! {
         biased;
--- a/crates/stacktack-direct/src/lib.rs
+++ b/crates/stacktack-direct/src/lib.rs
@@ -16,7 +16,7 @@
 //!   `held`, `respond`, `answer`, `unread`: answers on their way to callers.
 //! - [`followers`]: configuration and directory. `news`, [`datagram`]: what routers tell each
 //!   other; [`knowledge`]: what they hand to each other. [`calls`] and
-//!   [`transfer`]: calls under way and how far their answers have come. [`router`]: state of the process; `zone_drains`: zones that get nothing;
+//!   [`transfer`]: calls under way and how far their answers have come. [`router`]: state of the process; `counted`: counts of what is under way; `zone_drains`: zones that get nothing;
 //!   [`clock`], `suspension`: its time, and what a suspension of its machine changes.
 
 mod admission;
@@ -30,6 +30,7 @@
 pub mod client;
 pub mod clock;
 mod connection;
+mod counted;
 pub mod datagram;
 mod exchange;
 pub mod followers;
--- a/crates/stacktack-direct/src/server.rs
+++ b/crates/stacktack-direct/src/server.rs
@@ -20,6 +20,7 @@
 use tokio::time::sleep;
 
 use crate::admission;
+use crate::counted::Counted;
 use crate::router::{Phase, Router};
 use crate::unread::PassedAnswer;
 
@@ -108,26 +109,6 @@
     }
 }
 
-/// Keeps the count of open connections.
-struct OpenConnection(Rc<Router>);
-
-impl OpenConnection {
-    fn new(router: Rc<Router>) -> Self {
-        router
-            .open_connections
-            .set(router.open_connections.get() + 1);
-        OpenConnection(router)
-    }
-}
-
-impl Drop for OpenConnection {
-    fn drop(&mut self) {
-        self.0
-            .open_connections
-            .set(self.0.open_connections.get() - 1);
-    }
-}
-
 /// Requests under way on one connection and the last change of that.
 struct Activity {
     router: Rc<Router>,
@@ -180,7 +161,7 @@
 where
     S: AsyncRead + AsyncWrite + Unpin + 'static,
 {
-    let _open = OpenConnection::new(router.clone());
+    let _open = Counted::begin(router.clone(), |router| &router.open_connections);
     let activity = Rc::new(Activity::new(router.clone()));
     let passed = Rc::new(PassedAnswer::default());
     let service = {
