Attempts: whether a stream is under way is asked at one place

The choice for an attempt and the look for another back end beside a silent one each worked it out from the event after which a stream goes on and from the caller's own. No change of behaviour; processes/silences.rs guards both.

--- a/crates/stacktack-direct/src/sending.rs
+++ b/crates/stacktack-direct/src/sending.rs
@@ -40,8 +40,7 @@
 impl Exchange {
     /// One attempt: choice, connection, request, head of the answer.
     pub(crate) async fn attempt(&mut self, resume_after: Option<&str>) -> AttemptEnd {
-        // A stream under way goes before new work.
-        let under_way = resume_after.is_some() || self.caller.resume_after.is_some();
+        let under_way = self.is_under_way(AnswerProgress::of(resume_after));
         let treatment = self.treatment();
         if treatment == Treatment::SetAside {
             return AttemptEnd::NoBackEnd;
@@ -140,11 +139,7 @@
         } else {
             None
         };
-        let progress = if resume_after.is_some() {
-            AnswerProgress::Begun
-        } else {
-            AnswerProgress::NotBegun
-        };
+        let progress = AnswerProgress::of(resume_after);
         loop {
             let (mut connection, rested) = match resting.take() {
                 Some(connection) => (connection, true),
--- a/crates/stacktack-direct/src/silence.rs
+++ b/crates/stacktack-direct/src/silence.rs
@@ -17,7 +17,22 @@
     Begun,
 }
 
+impl AnswerProgress {
+    /// For an attempt that continues a stream after an event, or begins the answer.
+    pub(crate) fn of(resume_after: Option<&str>) -> Self {
+        match resume_after {
+            Some(_) => AnswerProgress::Begun,
+            None => AnswerProgress::NotBegun,
+        }
+    }
+}
+
 impl Exchange {
+    /// Whether its stream is under way, also where its caller continues it: that goes before new work.
+    pub(crate) fn is_under_way(&self, progress: AnswerProgress) -> bool {
+        progress == AnswerProgress::Begun || self.caller.resume_after.is_some()
+    }
+
     /// Whether the silent attempt that is under way is left. If so, a repeat is granted, which the
     /// next attempt uses.
     pub(crate) fn leaves_silent_attempt(&mut self, progress: AnswerProgress) -> bool {
@@ -56,7 +71,7 @@
 
     /// Whether a back end that was not tried has room, and is not as silent itself.
     fn has_room_elsewhere(&self, progress: AnswerProgress) -> bool {
-        let is_under_way = progress == AnswerProgress::Begun || self.caller.resume_after.is_some();
+        let is_under_way = self.is_under_way(progress);
         let limit = (!is_under_way).then(|| self.repeat_slot_limit());
         let choice = self.select(limit);
         choice.is_some_and(|choice| {
