--- a/crates/stacktack-core/src/direct/rollout/exposure.rs
+++ b/crates/stacktack-core/src/direct/rollout/exposure.rs
@@ -15,11 +15,11 @@
     pub slack: f64,
 }
 
-/// Part of the share that is spent before the trial with the whole traffic: the rest is
-/// saved for it.
+/// Part of the share that is spent on single requests. The rest is saved for a short time with the
+/// whole traffic, in which harm shows that comes with load only.
 const CANARY_PART: f64 = 0.6;
 
-/// Part of the share that the trial may spend.
+/// Part of the share that may be spent by the end of that time.
 const TRIAL_PART: f64 = 0.95;
 
 /// Requests of one router since an order.
@@ -52,12 +52,12 @@
         self.requests.is_multiple_of(CONTROL_EVERY)
     }
 
-    /// Whether one more request may go to the new version before the trial.
+    /// Whether one more request may go to the new version while single ones do.
     pub fn allows_canary(&self, bound: &ExposureBound) -> bool {
         self.allows(bound.share * CANARY_PART)
     }
 
-    /// Whether one more request may go to the new version during the trial.
+    /// Whether one more request may go to the new version while the whole traffic does for a short time.
     pub fn allows_trial(&self, bound: &ExposureBound) -> bool {
         self.allows(bound.share * TRIAL_PART)
     }
