--- a/crates/stacktack-direct/tests/followers/departures_in_time.rs
+++ b/crates/stacktack-direct/tests/followers/departures_in_time.rs
@@ -25,7 +25,7 @@
 
 use stacktack_core::direct::traffic::route::TrafficConfiguration;
 use stacktack_direct::followers::{follow_directory, follow_peers, Dependency};
-use stacktack_direct::knowledge::{answer_peer, Knowledge, Known, PeerSource};
+use stacktack_direct::knowledge::{Knowledge, Known, PeerSource};
 use stacktack_direct::ports::{Directory, DirectoryNews, LocalBoxFuture, SourceError};
 use stacktack_direct::router::Router;
 use stacktack_direct::transfer::Transfer;
@@ -33,7 +33,7 @@
 
 use crate::common::{after, router};
 use crate::scripted_directory::ScriptedDirectory;
-use crate::serving_peer::ServingPeer;
+use crate::serving_peer::{told_by, ServingPeer};
 use crate::steady_peer::steady_peer;
 
 /// Peers that wait in step with the router and know no more than it does.
@@ -232,8 +232,7 @@
         if peer == SILENT {
             return Box::pin(std::future::pending());
         }
-        let (_, body) = answer_peer(&self.0, &known.path_and_query());
-        Box::pin(async move { Knowledge::read(&body) })
+        told_by(&self.0, known)
     }
 }
 
--- a/crates/stacktack-direct/tests/followers/serving_peer.rs
+++ b/crates/stacktack-direct/tests/followers/serving_peer.rs
@@ -18,7 +18,15 @@
         known: Known,
         _: Rc<Transfer>,
     ) -> LocalBoxFuture<'_, Result<Knowledge, SourceError>> {
-        let (_, body) = answer_peer(&self.0, &known.path_and_query());
-        Box::pin(async move { Knowledge::read(&body) })
+        told_by(&self.0, known)
     }
 }
+
+/// What a router hands over to one that knows so much.
+pub fn told_by(
+    router: &Router,
+    known: Known,
+) -> LocalBoxFuture<'static, Result<Knowledge, SourceError>> {
+    let (_, body) = answer_peer(router, &known.path_and_query());
+    Box::pin(async move { Knowledge::read(&body) })
+}
--- a/crates/stacktack-direct/tests/followers/starts.rs
+++ b/crates/stacktack-direct/tests/followers/starts.rs
@@ -10,14 +10,14 @@
 use std::time::Duration;
 
 use stacktack_direct::followers::{follow_directory, follow_peers, Dependency};
-use stacktack_direct::knowledge::{answer_peer, Knowledge, Known, PeerSource};
+use stacktack_direct::knowledge::{Knowledge, Known, PeerSource};
 use stacktack_direct::ports::{Directory, DirectoryNews, LocalBoxFuture, SourceError};
 use stacktack_direct::router::Router;
 use stacktack_direct::transfer::Transfer;
 
 use crate::common::{after, router, router_with_seeds};
 use crate::scripted_directory::ScriptedDirectory;
-use crate::serving_peer::ServingPeer;
+use crate::serving_peer::{told_by, ServingPeer};
 use crate::steady_peer::steady_peer;
 
 /// A router that everybody knows from the settings.
@@ -129,8 +129,7 @@
         if self.1.get() {
             return Box::pin(std::future::pending());
         }
-        let (_, body) = answer_peer(&self.0, &known.path_and_query());
-        Box::pin(async move { Knowledge::read(&body) })
+        told_by(&self.0, known)
     }
 }
 
