--- a/crates/stacktack-core/src/direct/back_ends/load.rs
+++ b/crates/stacktack-core/src/direct/back_ends/load.rs
@@ -12,7 +12,7 @@
 
 /// Age up to which the load that a back end told counts in place of what routers
 /// count themselves: in a fleet of 330 routers 95 of 100 are younger than 2.6 s
-/// (`tests/load_news.rs`).
+/// (`tests/load_news`).
 pub const TOLD_LOAD_AGE: Duration = Duration::from_millis(5000);
 
 /// What a back end told of its load.
--- a/crates/stacktack-core/tests/admission/world.rs
+++ b/crates/stacktack-core/tests/admission/world.rs
@@ -2,7 +2,7 @@
 //!
 //! In a fleet of up to four, routers know each other's requests every quarter of a
 //! second. In a larger one they know the loads that back ends told them, in the heads of
-//! their own answers and by news from each other, as old as `tests/load_news.rs`
+//! their own answers and by news from each other, as old as `tests/load_news`
 //! measures.
 
 use std::collections::{BTreeMap, VecDeque};
