Announcements of back ends in responses are read, logged and counted

What could not be told apart: whether a router never reads what a back end says of itself in a response, reads it and undoes it, or reads it and goes around it. A rejection was logged as end=rejected only.

What cannot be read is logged. Each instance's announcements are kept beside its directory entry, and for instances whose entry is away at the moment. Nothing is decided by them yet.

- belief: one line for each change, with instance, status and the id of the request that was answered.
- choice: announced= tells what is in force for the chosen back end.
- stacktack_announcements and stacktack_contradicting_sends: responses with an announcement, and requests that were written in spite of one.

--- a/crates/stacktack-core/src/direct/back_ends/back_end.rs
+++ b/crates/stacktack-core/src/direct/back_ends/back_end.rs
@@ -12,6 +12,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::direct::back_ends::announcement::Announcements;
 use crate::direct::back_ends::directory::BackEndEntry;
 use crate::direct::back_ends::health::{Health, MemberStats, PoolMedians};
 use crate::direct::back_ends::load::BackEndLoad;
@@ -65,6 +66,8 @@
     pub id_hash: u64,
     /// Requests in flight at the back end, from this router and from others.
     pub load: BackEndLoad,
+    /// What this instance announced in responses to this router.
+    pub(crate) announcements: Announcements,
     /// Limits the requests sent to the back end while it is cold.
     slow_start: Option<SlowStartLimiter>,
     /// Whether another instance has answered at its address; reset by a directory entry of a newer
@@ -98,6 +101,7 @@
             entry,
             id_hash,
             load: BackEndLoad::default(),
+            announcements: Announcements::default(),
             consecutive_unreachable_attempts: 0,
             ejected_until: None,
             failure_share: 0.0,
@@ -132,6 +136,11 @@
         entry
     }
 
+    /// What this instance announced in responses to this router.
+    pub fn announcements(&self) -> &Announcements {
+        &self.announcements
+    }
+
     /// Assumes that the back end is cold at least until `until`, whatever its entry says.
     pub(crate) fn assume_cold(&mut self, until: Time, now: Time) {
         self.slow_start
--- a/crates/stacktack-core/src/direct/back_ends/directory.rs
+++ b/crates/stacktack-core/src/direct/back_ends/directory.rs
@@ -1,5 +1,6 @@
 //! Entries of the directory of back ends, and its deltas and changes.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -64,6 +65,12 @@
     }
 }
 
+impl fmt::Display for InstanceId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:08x}", u32::from_be_bytes(self.0))
+    }
+}
+
 /// Instance that left the directory, or was replaced there, without having been marked as
 /// leaving.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/stacktack-core/src/direct/back_ends/mod.rs
+++ b/crates/stacktack-core/src/direct/back_ends/mod.rs
@@ -1,5 +1,6 @@
 //! All back ends that a router knows, and the entries recently removed from their directory.
 //!
+//! - [`announcement`]: what back ends announce about themselves in responses.
 //! - [`directory`]: entries, deltas and changes of the directory.
 //! - [`back_end`]: the state that the router keeps for one back end.
 //! - [`compact_delta`]: compact wire encoding of a directory delta.
@@ -10,6 +11,7 @@
 //! - [`work_time`]: current duration of work at a back end, relative to its usual duration.
 //! - [`zone_drain`]: zones whose back ends get no requests.
 
+pub mod announcement;
 pub mod back_end;
 pub mod compact_delta;
 pub mod directory;
@@ -22,9 +24,10 @@
 
 use std::collections::{HashMap, HashSet, VecDeque};
 
+use crate::direct::back_ends::announcement::{Announcement, Announcements, UnlistedAnnouncements};
 use crate::direct::back_ends::back_end::BackEnd;
 use crate::direct::back_ends::directory::{
-    BackEndEntry, DirectoryChange, DirectoryDelta, RemovedEntry, VanishedInstance,
+    BackEndEntry, DirectoryChange, DirectoryDelta, InstanceId, RemovedEntry, VanishedInstance,
 };
 use crate::direct::back_ends::health::{Health, PoolMedians};
 use crate::direct::back_ends::outlier_detector::Retryability;
@@ -45,6 +48,8 @@
     /// Revision after which every removal is remembered; `None` until the first snapshot of the
     /// directory, or until more than [`MAX_REMEMBERED_REMOVALS`] entries were removed.
     removals_known_after: Option<u64>,
+    /// Announcements of instances that have no entry at the moment.
+    unlisted: UnlistedAnnouncements,
 }
 
 impl BackEnds {
@@ -80,8 +85,10 @@
             return;
         }
         change.joined.push(entry.id.clone());
-        self.members
-            .insert(entry.id.clone(), BackEnd::new(entry, now));
+        let announcements = self.unlisted.take(&entry.id, InstanceId::of(&entry));
+        let mut member = BackEnd::new(entry, now);
+        member.announcements = announcements.unwrap_or_default();
+        self.members.insert(member.entry.id.clone(), member);
     }
 
     /// Whether a remembered removal of the id has the revision of this entry or a newer one.
@@ -99,6 +106,10 @@
             return;
         }
         if let Some(known) = self.members.remove(&removed.id) {
+            if known.announcements != Announcements::default() {
+                let instance = InstanceId::of(&known.entry);
+                *self.unlisted.entry(&removed.id, instance) = known.announcements;
+            }
             change.vanished.extend(VanishedInstance::of(&known.entry));
         }
         change.gone.push(removed.id.clone());
@@ -154,6 +165,23 @@
         }
     }
 
+    /// Records what an instance of a back end announced in a response, whether or not the directory
+    /// lists it. Returns whether this changes what is known.
+    pub fn announce(
+        &mut self,
+        back_end: &str,
+        instance: InstanceId,
+        announcement: Announcement,
+        now: Time,
+    ) -> bool {
+        let listed = self.members.get_mut(back_end);
+        let announcements = match listed.filter(|known| InstanceId::of(&known.entry) == instance) {
+            Some(known) => &mut known.announcements,
+            None => self.unlisted.entry(back_end, instance),
+        };
+        announcements.add(announcement, now)
+    }
+
     /// Returns the back end with this id.
     pub fn get(&self, id: &str) -> Option<&BackEnd> {
         self.members.get(id)
--- a/crates/stacktack-direct/src/attempt.rs
+++ b/crates/stacktack-direct/src/attempt.rs
@@ -4,19 +4,20 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::http::response;
-use hyper::Response;
+use hyper::{Response, StatusCode};
+use stacktack_core::direct::back_ends::announcement::Announcement;
 use stacktack_core::direct::back_ends::back_end::BackEnd;
 use stacktack_core::direct::back_ends::directory::{InstanceId, VanishedInstance};
 use stacktack_core::direct::request::attempt::AttemptFailure;
 use stacktack_core::direct::traffic::route::Route;
 
 use crate::client::ClientConnection;
-use crate::ports::BackEndResponseHead;
+use crate::ports::{BackEndResponseHead, PauseRequest};
 use crate::rollouts::VersionObserver;
 use crate::router::Router;
 
@@ -122,6 +123,12 @@
     /// Called just before the request is written.
     pub fn on_write(&mut self) {
         self.sent_at = Instant::now();
+        let now = self.router.now();
+        let mut contradicted = None;
+        self.with_back_end(|back_end| contradicted = back_end.announcements().in_force(now));
+        if let Some(announcement) = contradicted {
+            self.router.metrics.count_contradicting_send(announcement);
+        }
         if let Some(version_observer) = &self.version_observer {
             version_observer.on_write(&self.router);
         }
@@ -145,6 +152,52 @@
         });
     }
 
+    /// Records what the back end announces about itself in the response to request `id`, which is
+    /// known to be its own.
+    pub(crate) fn on_announcements(
+        &self,
+        id: &str,
+        status: StatusCode,
+        response: &BackEndResponseHead,
+    ) {
+        if response.leaving {
+            self.announce(id, status, Announcement::Leaving);
+        }
+        match &response.pause {
+            PauseRequest::Absent => {}
+            PauseRequest::For(pause) => self.announce(id, status, Announcement::Pause(*pause)),
+            PauseRequest::Unreadable(cause) => log::warn!(
+                target: "belief",
+                "back_end={} announced=pause taken=false cause={cause:?} status={} id={id}",
+                self.back_end,
+                status.as_u16(),
+            ),
+        }
+    }
+
+    fn announce(&self, id: &str, status: StatusCode, announcement: Announcement) {
+        let now = self.router.now();
+        let mut back_ends = self.router.back_ends.borrow_mut();
+        let changed = back_ends.announce(&self.back_end, self.instance, announcement, now);
+        self.router.metrics.count_announcement(announcement);
+        if !changed {
+            return;
+        }
+        let pause = match announcement {
+            Announcement::Leaving => Duration::ZERO,
+            Announcement::Pause(pause) => pause,
+        };
+        log::info!(
+            target: "belief",
+            "back_end={} instance={} announced={} pause_ms={} status={} id={id}",
+            self.back_end,
+            self.instance,
+            announcement.as_str(),
+            pause.as_millis(),
+            status.as_u16(),
+        );
+    }
+
     /// Records that the back end accepted the request, or rejected it for lack of capacity.
     pub fn record_acceptance(&self, accepted: bool) {
         let now = self.router.now();
--- a/crates/stacktack-direct/src/metrics.rs
+++ b/crates/stacktack-direct/src/metrics.rs
@@ -2,11 +2,14 @@
 
 use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter};
 use opentelemetry::KeyValue;
+use stacktack_core::direct::back_ends::announcement::Announcement;
 
 /// Metric instruments of one process.
 pub struct DirectMetrics {
     requests: Counter<u64>,
     attempts: Counter<u64>,
+    announcements: Counter<u64>,
+    contradicting_sends: Counter<u64>,
     retries: Counter<u64>,
     store_calls: Counter<u64>,
     returning_callers: Counter<u64>,
@@ -46,6 +49,14 @@
                 .u64_counter("stacktack_attempts")
                 .with_description("Attempts at back ends by end")
                 .build(),
+            announcements: meter
+                .u64_counter("stacktack_announcements")
+                .with_description("Responses in which back ends announced that they leave or pause")
+                .build(),
+            contradicting_sends: meter
+                .u64_counter("stacktack_contradicting_sends")
+                .with_description("Requests sent although their back end had announced otherwise")
+                .build(),
             retries: meter
                 .u64_counter("stacktack_retries")
                 .with_description("Repeated sends by whether the budget allowed them")
@@ -112,6 +123,18 @@
         self.attempts.add(1, &[KeyValue::new("end", end)]);
     }
 
+    /// Counts a response in which a back end announced something about itself.
+    pub fn count_announcement(&self, announcement: Announcement) {
+        self.announcements
+            .add(1, &[announcement_label(announcement)]);
+    }
+
+    /// Counts a request that was written to a back end in spite of what that announced.
+    pub fn count_contradicting_send(&self, announcement: Announcement) {
+        self.contradicting_sends
+            .add(1, &[announcement_label(announcement)]);
+    }
+
     /// Counts a finished request whose caller had returned after a refusal.
     pub fn count_returning_caller(&self, outcome: &'static str) {
         self.returning_callers
@@ -188,3 +211,7 @@
         self.first_byte.record(seconds, &[]);
     }
 }
+
+fn announcement_label(announcement: Announcement) -> KeyValue {
+    KeyValue::new("announced", announcement.as_str())
+}
--- a/crates/stacktack-direct/src/ports.rs
+++ b/crates/stacktack-direct/src/ports.rs
@@ -70,6 +70,18 @@
     pub work_time: Option<WorkTimeFactor>,
 }
 
+/// Pause that a back end asks for when it turns a request away.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum PauseRequest {
+    /// It asks for none.
+    #[default]
+    Absent,
+    /// It wants no requests from this router for this time.
+    For(Duration),
+    /// It names a time that cannot be read; the text as received.
+    Unreadable(String),
+}
+
 /// Metadata of a back end's response head.
 #[derive(Clone, Debug, Default)]
 pub struct BackEndResponseHead {
@@ -81,6 +93,10 @@
     pub other_instance: bool,
     /// Load, if reported.
     pub load: Option<ReportedLoad>,
+    /// Whether the back end says that it leaves.
+    pub leaving: bool,
+    /// Pause that the back end asks for.
+    pub pause: PauseRequest,
     /// Keep-alive timeout of the connection, if reported.
     pub keep_alive_seconds: Option<u64>,
 }
--- a/crates/stacktack-direct/src/router.rs
+++ b/crates/stacktack-direct/src/router.rs
@@ -10,6 +10,7 @@
 use rand::{Rng, RngExt};
 use stacktack_core::configuration::selector::{matches_all, Requirement};
 use stacktack_core::direct::admission::PoolAdmission;
+use stacktack_core::direct::back_ends::announcement::Announcement;
 use stacktack_core::direct::back_ends::directory::InstanceId;
 use stacktack_core::direct::back_ends::slow_start::KnownFleet;
 use stacktack_core::direct::back_ends::zone_drain::ZoneDrains;
@@ -362,6 +363,14 @@
             .reported_age(self.now())
     }
 
+    /// What a back end announced and is in force, for logs.
+    pub(crate) fn announced_text(&self, back_end: &str) -> &'static str {
+        let back_ends = self.back_ends.borrow();
+        let known = back_ends.get(back_end);
+        let in_force = known.and_then(|known| known.announcements().in_force(self.now()));
+        in_force.map_or("-", Announcement::as_str)
+    }
+
     /// Records which back ends a peer suspects.
     pub fn apply_suspect_reports(&self, peer: SocketAddr, suspects: &[ShortId]) {
         let now = self.now();
--- a/crates/stacktack-direct/src/sending.rs
+++ b/crates/stacktack-direct/src/sending.rs
@@ -103,7 +103,7 @@
         }
         log::info!(
             target: "choice",
-            "id={} part={:x} tokens={} back_end={} probation={on_probation} load={:.1} load_age_ms={} mean={:.1} pool_fill={} rank={} standing={} fetch={} config={} directory={} directory_age_ms={} peers={}",
+            "id={} part={:x} tokens={} back_end={} probation={on_probation} load={:.1} load_age_ms={} mean={:.1} pool_fill={} rank={} standing={} announced={} fetch={} config={} directory={} directory_age_ms={} peers={}",
             self.id,
             self.caller.prompt.affinity_part().map_or(0, |part| part.id),
             self.caller.prompt.shared_tokens(),
@@ -114,6 +114,7 @@
             choice.pool_fill_text(),
             choice.selection.rank,
             choice.health.as_str(),
+            self.router.announced_text(&choice.back_end),
             fetch_from.map_or_else(|| "-".to_owned(), |holder| holder.to_string()),
             self.version,
             self.router.received_directory_revision.get(),
@@ -279,6 +280,7 @@
             attempt.on_other_instance();
             return AttemptOutcome::Failure(AttemptFailure::OtherInstance, None);
         }
+        attempt.on_announcements(&self.id, head.status, &response_info);
         attempt.record_acceptance(!response_info.not_run);
         if response_info.not_run {
             return AttemptOutcome::Failure(AttemptFailure::Rejected, None);
