A back end that announces in a response that it leaves gets nothing more

Cause: departures were known from the directory only. The same fact comes by a second way, the back end's own responses, and nothing read it.

Why this works: whether a back end leaves is asked in one place, BackEnd::is_leaving, by the choice of candidates (affinity, spill, retries, probation, trials, streams that resume), by the check right before a request is written, by readiness, drains and crash detection. A leave is final for its instance: entries that say ready don't end it (they are read late, and writes may be performed late), and neither does an entry that goes and comes back; a later instance of the id starts without it. The announcement of the directory's own drain later makes no second change. Peers are not told: they hear it with their own first response, and one wrong word stays at one router.

--- a/crates/stacktack-core/src/direct/back_ends/announcement.rs
+++ b/crates/stacktack-core/src/direct/back_ends/announcement.rs
@@ -1,9 +1,13 @@
 //! What back ends announce about themselves in responses to this router.
 //!
 //! An announcement concerns the instance that made it, and it binds this router only: whoever else
-//! sends requests there gets responses of its own. It counts beside the directory. What the
-//! directory reports later does not withdraw it, since an entry that is read after a response may
-//! have been written before it.
+//! sends requests there gets responses of its own. It counts beside the directory: the earlier of
+//! the two decides, and neither undoes the other.
+//!
+//! A leave is final for its instance and ends with it, when an entry shows a later instance of the
+//! same id. An entry that says `ready` does not end it: entries are read late, and the store may
+//! perform a write seconds after it was made, so that none can be told to be newer than a
+//! response.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -17,7 +21,7 @@
 /// Statement of a back end about itself in a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Announcement {
-    /// It leaves and accepts no new requests.
+    /// It leaves and accepts no new requests, as long as this instance lives.
     Leaving,
     /// It wants no requests from this router for this time.
     Pause(Duration),
--- a/crates/stacktack-core/src/direct/back_ends/back_end.rs
+++ b/crates/stacktack-core/src/direct/back_ends/back_end.rs
@@ -13,7 +13,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::direct::back_ends::announcement::Announcements;
-use crate::direct::back_ends::directory::BackEndEntry;
+use crate::direct::back_ends::directory::{BackEndEntry, VanishedInstance};
 use crate::direct::back_ends::health::{Health, MemberStats, PoolMedians};
 use crate::direct::back_ends::load::BackEndLoad;
 use crate::direct::back_ends::outlier_detector::{OutlierDetector, Retryability};
@@ -136,6 +136,17 @@
         entry
     }
 
+    /// Whether the back end accepts no new requests: the directory says that it leaves, or it has
+    /// announced so itself.
+    pub fn is_leaving(&self) -> bool {
+        self.entry.leaving || self.announcements.is_leaving()
+    }
+
+    /// The instance, as one that vanished from the directory; `None` if it was to leave.
+    pub(crate) fn vanished(&self) -> Option<VanishedInstance> {
+        VanishedInstance::of(&self.entry).filter(|_| !self.is_leaving())
+    }
+
     /// What this instance announced in responses to this router.
     pub fn announcements(&self) -> &Announcements {
         &self.announcements
--- a/crates/stacktack-core/src/direct/back_ends/mod.rs
+++ b/crates/stacktack-core/src/direct/back_ends/mod.rs
@@ -27,7 +27,7 @@
 use crate::direct::back_ends::announcement::{Announcement, Announcements, UnlistedAnnouncements};
 use crate::direct::back_ends::back_end::BackEnd;
 use crate::direct::back_ends::directory::{
-    BackEndEntry, DirectoryChange, DirectoryDelta, InstanceId, RemovedEntry, VanishedInstance,
+    BackEndEntry, DirectoryChange, DirectoryDelta, InstanceId, RemovedEntry,
 };
 use crate::direct::back_ends::health::{Health, PoolMedians};
 use crate::direct::back_ends::outlier_detector::Retryability;
@@ -62,11 +62,11 @@
             Some(known) if entry.is_newer_instance_than(&known.entry) => {
                 // The state kept for the previous instance does not apply to this one.
                 change.restarted.push(entry.id.clone());
-                change.vanished.extend(VanishedInstance::of(&known.entry));
+                change.vanished.extend(known.vanished());
                 *known = BackEnd::new(entry, now);
             }
             Some(known) => {
-                if entry.leaving && !known.entry.leaving {
+                if entry.leaving && !known.is_leaving() {
                     change.leaving.push(entry.id.clone());
                 }
                 known.update_entry(entry, now);
@@ -88,6 +88,9 @@
         let announcements = self.unlisted.take(&entry.id, InstanceId::of(&entry));
         let mut member = BackEnd::new(entry, now);
         member.announcements = announcements.unwrap_or_default();
+        if member.announcements.is_leaving() && !member.entry.leaving {
+            change.leaving.push(member.entry.id.clone());
+        }
         self.members.insert(member.entry.id.clone(), member);
     }
 
@@ -110,7 +113,7 @@
                 let instance = InstanceId::of(&known.entry);
                 *self.unlisted.entry(&removed.id, instance) = known.announcements;
             }
-            change.vanished.extend(VanishedInstance::of(&known.entry));
+            change.vanished.extend(known.vanished());
         }
         change.gone.push(removed.id.clone());
         self.removals.push_back(removed);
@@ -215,7 +218,7 @@
     pub fn count_accepting_work(&self) -> usize {
         self.members
             .values()
-            .filter(|member| !member.entry.leaving)
+            .filter(|member| !member.is_leaving())
             .count()
     }
 
@@ -273,7 +276,7 @@
         let members = self
             .members
             .values_mut()
-            .filter(|member| !member.entry.leaving && matches(&member.entry))
+            .filter(|member| !member.is_leaving() && matches(&member.entry))
             .collect();
         assess(members, now, request)
     }
--- a/crates/stacktack-direct/src/candidates.rs
+++ b/crates/stacktack-direct/src/candidates.rs
@@ -13,8 +13,8 @@
 
 impl Router {
     /// Whether a request may still be sent to the instance of a back end that was chosen: the
-    /// directory still lists that instance, it is not leaving, its zone is not drained, and its
-    /// version is not blocked.
+    /// directory still lists that instance, it is not leaving, as far as directory and responses
+    /// tell, its zone is not drained, and its version is not blocked.
     pub fn may_send(&self, back_end: &str, instance: InstanceId) -> bool {
         let back_ends = self.back_ends.borrow();
         let Some(known) = back_ends.get(back_end) else {
@@ -22,7 +22,7 @@
         };
         let is_drained = self.zone_drains.borrow().covers(&known.entry);
         let is_blocked = self.is_version_blocked(&known.entry, &back_ends);
-        !known.entry.leaving
+        !known.is_leaving()
             && !is_drained
             && !is_blocked
             && InstanceId::of(&known.entry) == instance
--- a/crates/stacktack-direct/src/crash_detection.rs
+++ b/crates/stacktack-direct/src/crash_detection.rs
@@ -7,6 +7,7 @@
 
 use futures_util::future::{LocalBoxFuture, Shared};
 use futures_util::FutureExt;
+use stacktack_core::direct::back_ends::back_end::BackEnd;
 use stacktack_core::direct::back_ends::directory::{InstanceId, VanishedInstance};
 use stacktack_core::direct::quarantine::interrupted_runs::InterruptedRun;
 use stacktack_core::direct::request::attempt::AttemptFailure;
@@ -179,7 +180,7 @@
     fn is_leaving(&self, back_end: &str) -> bool {
         let back_ends = self.back_ends.borrow();
         let known = back_ends.get(back_end);
-        known.is_some_and(|known| known.entry.leaving)
+        known.is_some_and(BackEnd::is_leaving)
     }
 
     /// Called when entries vanished from the directory, or name another instance: where runs were
--- a/crates/stacktack-direct/src/zone_drains.rs
+++ b/crates/stacktack-direct/src/zone_drains.rs
@@ -57,7 +57,7 @@
         let back_ends = self.back_ends.borrow();
         let mut members = back_ends
             .iter()
-            .filter(|member| !member.entry.leaving && matches_all(pool, &member.entry.labels))
+            .filter(|member| !member.is_leaving() && matches_all(pool, &member.entry.labels))
             .peekable();
         members.peek().is_some() && members.all(|member| zone_drains.covers(&member.entry))
     }
--- a/crates/stacktack-direct/tests/before_sending.rs
+++ b/crates/stacktack-direct/tests/before_sending.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use stacktack_core::configuration::selector::Labels;
+use stacktack_core::direct::back_ends::announcement::Announcement;
 use stacktack_core::direct::back_ends::directory::{
     BackEndEntry, DirectoryDelta, InstanceId, RemovedEntry,
 };
@@ -44,6 +45,12 @@
     apply_delta(router, delta, revision, RemovalEvidence::StoreSteady);
 }
 
+fn announce(router: &Router, instance: InstanceId, announcement: Announcement) {
+    let now = router.now();
+    let mut back_ends = router.back_ends.borrow_mut();
+    back_ends.announce("a", instance, announcement, now);
+}
+
 /// Creates a router that selected an instance of back end `a` a moment ago.
 async fn router_after_selection() -> (Rc<Router>, InstanceId) {
     let router = router();
@@ -64,7 +71,14 @@
     apply(&router, vec![leaving], Vec::new());
     assert!(
         !router.may_send("a", instance),
-        "it announced that it leaves"
+        "its entry says that it leaves"
+    );
+
+    let (router, instance) = router_after_selection().await;
+    announce(&router, instance, Announcement::Leaving);
+    assert!(
+        !router.may_send("a", instance),
+        "it announced in a response that it leaves"
     );
 
     let (router, instance) = router_after_selection().await;
