A back end that asks for a pause gets no request before its end

What callers saw: a third of a service's back ends rejected everything for nine seconds and asked for 3 s without requests each time; single routers sent 26 and 16 requests there in that time, and 29 to 56 callers a second were refused while 13 of 18 back ends had free slots.

A rejection ended the attempt and left no mark, so the home of a prompt part was chosen again by the next request.

Why this works: a pause (503 or 429) makes its back end ineligible at this router until it ends, for every choice, and once more right before a request is written. The longest of several holds, by the monotonic clock, for the instance that asked. The back end stays in its pool: bounds and fill go by those that can take work, its health, its parts and the rejections that shed load are untouched. Each router returns up to 10 ms per router of the fleet (a quarter of the pause at most) after the end, never before, and sends one trial per 100 ms until one is answered. If all of a pool pause, requests are rejected at once with the time of the first return, spread by half a second; nothing is held.

--- a/crates/stacktack-core/src/direct/admission/mod.rs
+++ b/crates/stacktack-core/src/direct/admission/mod.rs
@@ -259,6 +259,11 @@
         )
     }
 
+    /// A request is refused since all back ends of the pool want a pause.
+    pub fn on_refused_in_pause(&mut self, now: Time) {
+        self.timeouts.on_refused(now);
+    }
+
     /// A complete response came `elapsed` after its request was sent. `load` and `slots`
     /// are those of the back end when the request was sent: where the load exceeds the
     /// slots, the elapsed time grows with the load, and the excess was spent waiting.
--- a/crates/stacktack-core/src/direct/back_ends/announcement.rs
+++ b/crates/stacktack-core/src/direct/back_ends/announcement.rs
@@ -15,6 +15,17 @@
 use crate::direct::back_ends::directory::InstanceId;
 use crate::time::Time;
 
+/// Interval between trials after a pause: a few requests of each router reach a back end that has
+/// not responded yet.
+const TRIAL_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Maximum delay of the return after a pause, as a share of the pause.
+const MAX_RETURN_DELAY_SHARE: f64 = 0.25;
+
+/// Minimum time by which a pause has to become longer to count as a change: dozens of requests that
+/// are in flight when a back end asks for a pause are turned away within milliseconds.
+const MIN_REPORTED_EXTENSION: Duration = Duration::from_millis(100);
+
 /// Maximum number of instances without a directory entry whose announcements are kept.
 const MAX_UNLISTED_INSTANCES: usize = 1024;
 
@@ -23,7 +34,8 @@
 pub enum Announcement {
     /// It leaves and accepts no new requests, as long as this instance lives.
     Leaving,
-    /// It wants no requests from this router for this time.
+    /// It wants no requests from this router for this time. That is not a failure: its health and
+    /// what it has cached stay as they are.
     Pause(Duration),
 }
 
@@ -41,21 +53,63 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Announcements {
     leaving: bool,
-    paused_until: Option<Time>,
+    pause: Option<Pause>,
+}
+
+/// A pause that a back end asked for, and the first requests after it.
+///
+/// A back end that turned many routers away would get all their requests back at the same moment.
+/// So each router returns a little after the end, and sends single trials until the back end has
+/// responded to one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Pause {
+    /// End that the back end asked for.
+    asked_until: Time,
+    /// From when on this router sends again.
+    until: Time,
+    /// When the next trial may be sent.
+    next_trial: Time,
 }
 
 impl Announcements {
-    /// Adds an announcement. Returns whether it changes what is known. Of several pauses the one
-    /// that ends last counts.
-    pub fn add(&mut self, announcement: Announcement, now: Time) -> bool {
-        let before = *self;
+    /// Adds an announcement. Returns whether it changes what is known, other than by a slightly
+    /// later end of a pause. Of several pauses the one that ends last counts. `return_delay` is a
+    /// random time by which this router returns after the end of a pause, shortened for short
+    /// pauses.
+    pub fn add(&mut self, announcement: Announcement, return_delay: Duration, now: Time) -> bool {
         match announcement {
-            Announcement::Leaving => self.leaving = true,
-            Announcement::Pause(duration) => {
-                self.paused_until = self.paused_until.max(Some(now + duration));
-            }
+            Announcement::Leaving => !std::mem::replace(&mut self.leaving, true),
+            Announcement::Pause(duration) => self.add_pause(duration, return_delay, now),
+        }
+    }
+
+    fn add_pause(&mut self, duration: Duration, return_delay: Duration, now: Time) -> bool {
+        let asked_until = now + duration;
+        let before = self.pause.map_or(now, |pause| pause.asked_until.max(now));
+        if asked_until <= before {
+            return false;
+        }
+        let max_delay = duration.mul_f64(MAX_RETURN_DELAY_SHARE);
+        let until = asked_until + return_delay.min(max_delay);
+        self.pause = Some(Pause {
+            asked_until,
+            until,
+            next_trial: until,
+        });
+        asked_until.since(before) >= MIN_REPORTED_EXTENSION
+    }
+
+    /// A request is sent to the instance.
+    pub(crate) fn on_send(&mut self, now: Time) {
+        if let Some(pause) = self.pause.as_mut().filter(|pause| now >= pause.until) {
+            pause.next_trial = now + TRIAL_INTERVAL;
         }
-        *self != before
+    }
+
+    /// The instance responded, without asking for a pause, to a request that was sent at `sent_at`.
+    /// After a pause this ends the trials.
+    pub(crate) fn on_response(&mut self, sent_at: Time) {
+        self.pause = self.pause.filter(|pause| sent_at < pause.until);
     }
 
     /// Whether the instance announced that it leaves.
@@ -65,7 +119,14 @@
 
     /// Whether a pause is in force.
     pub fn is_paused(&self, now: Time) -> bool {
-        self.paused_until.is_some_and(|until| now < until)
+        self.pause.is_some_and(|pause| now < pause.until)
+    }
+
+    /// When the instance may get its next request, if that is later than now because of a pause or
+    /// of the trials after it.
+    pub fn resumes_at(&self, now: Time) -> Option<Time> {
+        let next = self.pause.map(|pause| pause.next_trial);
+        next.filter(|next| now < *next)
     }
 
     /// What is in force; a pause counts only if the instance does not leave.
@@ -73,8 +134,8 @@
         if self.leaving {
             return Some(Announcement::Leaving);
         }
-        let left = self.paused_until?.since(now);
-        (!left.is_zero()).then_some(Announcement::Pause(left))
+        let pause = self.pause.filter(|pause| now < pause.until)?;
+        Some(Announcement::Pause(pause.until.since(now)))
     }
 }
 
--- a/crates/stacktack-core/src/direct/back_ends/back_end.rs
+++ b/crates/stacktack-core/src/direct/back_ends/back_end.rs
@@ -188,11 +188,12 @@
         self.slow_start.is_some_and(|limiter| !limiter.is_over(now))
     }
 
-    /// Whether no other instance has replaced the back end, and its slow start is over or allows
-    /// one more request now. Whether it is leaving, its zone's drain and its health are not
-    /// considered.
+    /// Whether no other instance has replaced the back end, and both its slow start and a pause that
+    /// it asked for are over or allow one more request now. Whether it is leaving, its zone's drain
+    /// and its health are not considered.
     pub fn may_get_requests(&self, now: Time) -> bool {
         !self.replaced
+            && self.announcements.resumes_at(now).is_none()
             && self
                 .slow_start
                 .is_none_or(|limiter| limiter.allows_request(now))
@@ -205,6 +206,7 @@
         }
         self.last_used = now;
         self.load.on_send(now);
+        self.announcements.on_send(now);
         if let Some(limiter) = &mut self.slow_start {
             limiter.on_send(now);
         }
@@ -217,6 +219,12 @@
         self.ejected_until = None;
     }
 
+    /// Records a response in which the back end asked for no pause, to a request that was sent at
+    /// `sent_at`.
+    pub fn on_response_without_pause(&mut self, sent_at: Time) {
+        self.announcements.on_response(sent_at);
+    }
+
     /// Records the time from sending a request to the first byte of its response.
     pub fn on_first_byte(&mut self, latency: Duration) {
         let seconds = latency.as_secs_f64();
--- a/crates/stacktack-core/src/direct/back_ends/mod.rs
+++ b/crates/stacktack-core/src/direct/back_ends/mod.rs
@@ -23,6 +23,7 @@
 pub mod zone_drain;
 
 use std::collections::{HashMap, HashSet, VecDeque};
+use std::time::Duration;
 
 use crate::direct::back_ends::announcement::{Announcement, Announcements, UnlistedAnnouncements};
 use crate::direct::back_ends::back_end::BackEnd;
@@ -169,12 +170,13 @@
     }
 
     /// Records what an instance of a back end announced in a response, whether or not the directory
-    /// lists it. Returns whether this changes what is known.
+    /// lists it. See [`Announcements::add`] for the delay and the result.
     pub fn announce(
         &mut self,
         back_end: &str,
         instance: InstanceId,
         announcement: Announcement,
+        return_delay: Duration,
         now: Time,
     ) -> bool {
         let listed = self.members.get_mut(back_end);
@@ -182,7 +184,7 @@
             Some(known) => &mut known.announcements,
             None => self.unlisted.entry(back_end, instance),
         };
-        announcements.add(announcement, now)
+        announcements.add(announcement, return_delay, now)
     }
 
     /// Returns the back end with this id.
--- a/crates/stacktack-core/src/direct/request/attempt.rs
+++ b/crates/stacktack-core/src/direct/request/attempt.rs
@@ -14,6 +14,9 @@
     /// The back end became ineligible after it was chosen and before anything was written, for
     /// example because it left or its zone is being drained. The request certainly did not run.
     BackEndLeft,
+    /// The back end asked for a pause after it was chosen and before anything was written. The
+    /// request certainly did not run.
+    BackEndPaused,
     /// The address now belongs to another instance. The request certainly did not run.
     OtherInstance,
     /// The back end rejected the request and said that it did not run.
@@ -35,6 +38,7 @@
             self,
             AttemptFailure::Unreached
                 | AttemptFailure::BackEndLeft
+                | AttemptFailure::BackEndPaused
                 | AttemptFailure::OtherInstance
                 | AttemptFailure::Rejected
         )
@@ -44,7 +48,10 @@
     pub fn counts_as_send(self) -> bool {
         !matches!(
             self,
-            AttemptFailure::Unreached | AttemptFailure::BackEndLeft | AttemptFailure::OtherInstance
+            AttemptFailure::Unreached
+                | AttemptFailure::BackEndLeft
+                | AttemptFailure::BackEndPaused
+                | AttemptFailure::OtherInstance
         )
     }
 
@@ -53,6 +60,7 @@
         match self {
             AttemptFailure::Unreached => "unreached",
             AttemptFailure::BackEndLeft => "left",
+            AttemptFailure::BackEndPaused => "paused",
             AttemptFailure::OtherInstance => "other_instance",
             AttemptFailure::Rejected => "rejected",
             AttemptFailure::Failed => "failed",
--- a/crates/stacktack-core/tests/announcements.rs
+++ b/crates/stacktack-core/tests/announcements.rs
@@ -5,9 +5,11 @@
 
 use stacktack_core::configuration::selector::Labels;
 use stacktack_core::direct::back_ends::announcement::Announcement;
+use stacktack_core::direct::back_ends::back_end::BackEnd;
 use stacktack_core::direct::back_ends::directory::{
     BackEndEntry, DirectoryChange, InstanceId, RemovedEntry,
 };
+use stacktack_core::direct::back_ends::health::Health;
 use stacktack_core::direct::back_ends::outlier_detector::Retryability;
 use stacktack_core::direct::back_ends::BackEnds;
 use stacktack_core::time::Time;
@@ -68,8 +70,25 @@
     ids
 }
 
+/// Announces a pause of `a`, with a return delay, both in milliseconds.
+fn announce_pause(all: &mut BackEnds, pause: u64, return_delay: u64, now: u64) -> bool {
+    let announcement = Announcement::Pause(Duration::from_millis(pause));
+    let return_delay = Duration::from_millis(return_delay);
+    all.announce("a", instance("a"), announcement, return_delay, at(now))
+}
+
+fn may_get_requests(all: &BackEnds, now: u64) -> bool {
+    all.get("a").expect("listed").may_get_requests(at(now))
+}
+
 fn announce_leave(all: &mut BackEnds, id: &str) -> bool {
-    all.announce(id, instance(id), Announcement::Leaving, at(0))
+    all.announce(
+        id,
+        instance(id),
+        Announcement::Leaving,
+        Duration::ZERO,
+        at(0),
+    )
 }
 
 #[test]
@@ -185,6 +204,130 @@
     );
 }
 
+/// Guards against requests during a pause, and against a return before its end.
+#[test]
+fn a_paused_back_end_gets_no_request_before_the_end_of_its_pause() {
+    for return_delay in [0, 20, 10_000] {
+        let mut all = back_ends(&["a", "b"]);
+        assert!(announce_pause(&mut all, 3000, return_delay, 1000));
+        for now in [1000, 1500, 2500, 3999] {
+            assert!(!may_get_requests(&all, now), "{now}");
+        }
+        let latest = 4000 + return_delay.min(750);
+        assert!(return_delay == 0 || !may_get_requests(&all, latest - 1));
+        assert!(may_get_requests(&all, latest));
+    }
+}
+
+#[test]
+fn a_paused_back_end_stays_a_member_of_its_pool_in_good_health() {
+    let mut all = back_ends(&["a", "b"]);
+    announce_pause(&mut all, 3000, 0, 0);
+    let members = all.assess_candidates(at(10), Retryability::Retryable, |_| true);
+    assert_eq!(members.len(), 2, "its load counts in the mean");
+    assert!(members.iter().all(|(_, health)| *health == Health::Good));
+    assert_eq!(all.count_accepting_work(), 2);
+}
+
+#[test]
+fn of_several_pauses_the_one_that_ends_last_counts() {
+    let mut all = back_ends(&["a"]);
+    announce_pause(&mut all, 3000, 0, 0);
+    assert!(!announce_pause(&mut all, 300, 0, 100), "it ends before");
+    assert!(!announce_pause(&mut all, 3000, 0, 50), "hardly any change");
+    assert!(!may_get_requests(&all, 3049));
+    assert!(announce_pause(&mut all, 30_000, 0, 200));
+    assert!(!may_get_requests(&all, 30_199));
+    assert!(may_get_requests(&all, 30_200));
+}
+
+#[test]
+fn pauses_of_no_time_and_of_any_length_are_kept_as_asked() {
+    let mut all = back_ends(&["a"]);
+    assert!(!announce_pause(&mut all, 0, 0, 0));
+    assert!(may_get_requests(&all, 0));
+    let years = 1_000_000_000_000;
+    announce_pause(&mut all, years, 1000, 0);
+    assert!(!may_get_requests(&all, years - 1));
+    assert!(may_get_requests(&all, years + 1000));
+}
+
+/// Guards against a whole backlog at a back end whose pause has just ended.
+#[test]
+fn after_a_pause_single_trials_go_first_until_one_of_them_is_answered() {
+    let mut all = back_ends(&["a"]);
+    let member =
+        |all: &mut BackEnds, act: &dyn Fn(&mut BackEnd)| act(all.get_mut("a").expect("listed"));
+    member(&mut all, &|known| known.on_send(at(500)));
+    announce_pause(&mut all, 1000, 0, 1000);
+    assert!(may_get_requests(&all, 2000));
+    member(&mut all, &|known| known.on_send(at(2000)));
+    assert!(!may_get_requests(&all, 2099));
+    member(&mut all, &|known| known.on_response_without_pause(at(500)));
+    assert!(!may_get_requests(&all, 2099), "answered before the pause");
+    assert!(may_get_requests(&all, 2100));
+    member(&mut all, &|known| known.on_send(at(2100)));
+    assert!(!may_get_requests(&all, 2150));
+    member(&mut all, &|known| known.on_response_without_pause(at(2000)));
+    assert!(may_get_requests(&all, 2150));
+}
+
+#[test]
+fn a_trial_that_is_turned_away_starts_the_next_pause() {
+    let mut all = back_ends(&["a"]);
+    announce_pause(&mut all, 1000, 0, 0);
+    all.get_mut("a").expect("listed").on_send(at(1000));
+    assert!(announce_pause(&mut all, 1000, 0, 1010));
+    assert!(!may_get_requests(&all, 2009));
+    assert!(may_get_requests(&all, 2010));
+}
+
+#[test]
+fn a_pause_belongs_to_the_instance_that_asked_for_it() {
+    let reborn = BackEndEntry {
+        born: 200,
+        ..entry("a", 4)
+    };
+    let mut all = back_ends(&["a"]);
+    announce_pause(&mut all, 3000, 0, 0);
+    upsert(&mut all, entry("a", 2));
+    assert!(!may_get_requests(&all, 100), "its entry was written again");
+    remove(&mut all, "a", 3);
+    upsert(&mut all, entry("a", 3));
+    upsert(&mut all, entry("a", 4));
+    assert!(
+        !may_get_requests(&all, 100),
+        "its entry was away for a time"
+    );
+    upsert(&mut all, reborn);
+    assert!(may_get_requests(&all, 100), "the next instance did not ask");
+}
+
+/// Guards against all routers that were turned away at one time returning at one time. Each has a
+/// request for the back end every millisecond; its first response takes half a second.
+#[test]
+fn routers_return_one_after_the_other() {
+    const PAUSE: u64 = 3000;
+    for routers in [1, 4, 30, 103, 357] {
+        let mut arrivals = vec![0_usize; 5000];
+        for router in 0..routers {
+            let mut all = back_ends(&["a"]);
+            // Evenly spread draws of a delay of up to 10 ms for each router.
+            announce_pause(&mut all, PAUSE, 10 * router, 0);
+            for now in 0..5000 {
+                if may_get_requests(&all, now) {
+                    all.get_mut("a").expect("listed").on_send(at(now));
+                    arrivals[now as usize] += 1;
+                }
+            }
+        }
+        assert_eq!(arrivals[..PAUSE as usize].iter().sum::<usize>(), 0);
+        let first = &arrivals[PAUSE as usize..PAUSE as usize + 100];
+        let most = 10.max(routers as usize / 2 + 1);
+        assert!(first.iter().sum::<usize>() <= most, "{routers} routers");
+    }
+}
+
 fn ids(id: &str) -> Vec<String> {
     vec![id.to_owned()]
 }
--- a/crates/stacktack-ctl/src/explanation.rs
+++ b/crates/stacktack-ctl/src/explanation.rs
@@ -156,6 +156,7 @@
         "rejected" => format!("not run: {attempt_text}{budget_text}"),
         "no_back_end" => format!("not run: no back end could take it ({attempt_text})"),
         "busy" => format!("not run: {}", busy_cause(request_lines)),
+        "paused" => format!("not run: {}", pause_cause(request_lines)),
         "not_ready" => "not run: the router knew no configuration".to_owned(),
         "stopping" => "not run: the router was about to end and no other served".to_owned(),
         "unknown_key" => format!(
@@ -174,6 +175,23 @@
     }
 }
 
+/// Why the router refused the request as `paused`.
+fn pause_cause(request_lines: &[&LogLine]) -> String {
+    let admission_line = request_lines
+        .iter()
+        .rfind(|line| line.target == "admission");
+    admission_line.map_or_else(
+        || "all back ends of its pool wanted a pause".to_owned(),
+        |line| {
+            format!(
+                "all back ends of pool {} wanted a pause, the first for {} ms more",
+                line.field("pool"),
+                line.field("pause_ends_in_ms"),
+            )
+        },
+    )
+}
+
 /// Why the router refused the request as `busy`.
 fn busy_cause(request_lines: &[&LogLine]) -> String {
     let Some(admission_line) = request_lines
--- a/crates/stacktack-direct/src/admission.rs
+++ b/crates/stacktack-direct/src/admission.rs
@@ -146,6 +146,7 @@
         has_returned: false,
         no_time_before_stop: false,
         retry_after: None,
+        is_pool_paused: false,
         outcome: Outcome::Open,
     }))
 }
--- a/crates/stacktack-direct/src/attempt.rs
+++ b/crates/stacktack-direct/src/attempt.rs
@@ -15,6 +15,7 @@
 use stacktack_core::direct::back_ends::directory::{InstanceId, VanishedInstance};
 use stacktack_core::direct::request::attempt::AttemptFailure;
 use stacktack_core::direct::traffic::route::Route;
+use stacktack_core::time::Time;
 
 use crate::client::ClientConnection;
 use crate::ports::{BackEndResponseHead, PauseRequest};
@@ -63,6 +64,8 @@
     /// When the request was written, as an `Instant`: latencies of the back end then exclude
     /// suspensions of this machine.
     sent_at: Instant,
+    /// When the request was written, on the clock of the router.
+    written_at: Time,
     idle_timeout_seconds: Option<u64>,
     /// Counts the attempt for the version of its back end, if the service has a roll-out.
     version_observer: Option<Box<VersionObserver>>,
@@ -90,6 +93,7 @@
             on_probation: false,
             connection: None,
             sent_at: Instant::now(),
+            written_at: now,
             idle_timeout_seconds: None,
             version_observer: None,
         })
@@ -124,6 +128,7 @@
     pub fn on_write(&mut self) {
         self.sent_at = Instant::now();
         let now = self.router.now();
+        self.written_at = now;
         let mut contradicted = None;
         self.with_back_end(|back_end| contradicted = back_end.announcements().in_force(now));
         if let Some(announcement) = contradicted {
@@ -164,7 +169,9 @@
             self.announce(id, status, Announcement::Leaving);
         }
         match &response.pause {
-            PauseRequest::Absent => {}
+            PauseRequest::Absent => {
+                self.with_back_end(|back_end| back_end.on_response_without_pause(self.written_at));
+            }
             PauseRequest::For(pause) => self.announce(id, status, Announcement::Pause(*pause)),
             PauseRequest::Unreadable(cause) => log::warn!(
                 target: "belief",
@@ -178,7 +185,13 @@
     fn announce(&self, id: &str, status: StatusCode, announcement: Announcement) {
         let now = self.router.now();
         let mut back_ends = self.router.back_ends.borrow_mut();
-        let changed = back_ends.announce(&self.back_end, self.instance, announcement, now);
+        let changed = back_ends.announce(
+            &self.back_end,
+            self.instance,
+            announcement,
+            self.router.draw_return_delay(),
+            now,
+        );
         self.router.metrics.count_announcement(announcement);
         if !changed {
             return;
--- a/crates/stacktack-direct/src/candidates.rs
+++ b/crates/stacktack-direct/src/candidates.rs
@@ -1,31 +1,60 @@
 //! Members of a pool at the time of a request: loads, limits and health.
 
+use std::time::Duration;
+
 use stacktack_core::configuration::selector::{matches_all, Requirement};
 use stacktack_core::direct::admission::pool_load::{LoadReport, PoolLoad};
 use stacktack_core::direct::admission::SlotLimit;
 use stacktack_core::direct::back_ends::directory::InstanceId;
 use stacktack_core::direct::back_ends::outlier_detector::Retryability;
 use stacktack_core::direct::choice::select::DirectCandidate;
+use stacktack_core::direct::request::attempt::AttemptFailure;
 use stacktack_core::direct::rollout::VersionSelection;
+use stacktack_core::time::Time;
 
 use crate::rollouts::VersionFilter;
 use crate::router::Router;
 
 impl Router {
-    /// Whether a request may still be sent to the instance of a back end that was chosen: the
-    /// directory still lists that instance, it is not leaving, as far as directory and responses
-    /// tell, its zone is not drained, and its version is not blocked.
-    pub fn may_send(&self, back_end: &str, instance: InstanceId) -> bool {
+    /// Why a request may no longer be sent to the instance of a back end that was chosen; `None`
+    /// while the directory still lists that instance, it is not leaving and wants no pause, as far
+    /// as directory and responses tell, its zone is not drained, and its version is not blocked.
+    pub fn send_obstacle(&self, back_end: &str, instance: InstanceId) -> Option<AttemptFailure> {
         let back_ends = self.back_ends.borrow();
         let Some(known) = back_ends.get(back_end) else {
-            return false;
+            return Some(AttemptFailure::BackEndLeft);
         };
         let is_drained = self.zone_drains.borrow().covers(&known.entry);
         let is_blocked = self.is_version_blocked(&known.entry, &back_ends);
-        !known.is_leaving()
-            && !is_drained
-            && !is_blocked
-            && InstanceId::of(&known.entry) == instance
+        let has_left = known.is_leaving()
+            || is_drained
+            || is_blocked
+            || InstanceId::of(&known.entry) != instance;
+        if has_left {
+            return Some(AttemptFailure::BackEndLeft);
+        }
+        let is_paused = known.announcements().is_paused(self.now());
+        is_paused.then_some(AttemptFailure::BackEndPaused)
+    }
+
+    /// Time until the first member of a pool that a request may go to takes requests again, if all
+    /// of them want a pause. Members that the request tried, that leave or whose zone is drained
+    /// are left out.
+    pub(crate) fn pool_pause(&self, pool: &[Requirement], tried: &[String]) -> Option<Duration> {
+        let now = self.now();
+        let zone_drains = self.zone_drains.borrow();
+        let back_ends = self.back_ends.borrow();
+        let members = back_ends.iter().filter(|member| {
+            matches_all(pool, &member.entry.labels)
+                && !member.is_leaving()
+                && !zone_drains.covers(&member.entry)
+                && !tried.contains(&member.entry.id)
+        });
+        let ends: Option<Vec<Time>> = members
+            .map(|member| member.announcements().resumes_at(now))
+            .collect();
+        let first = ends?.into_iter().min()?;
+        Some(first.since(now))
     }
 
     /// Candidates of a pool for a request. Without a limit none counts as full. Where the new
--- a/crates/stacktack-direct/src/exchange.rs
+++ b/crates/stacktack-direct/src/exchange.rs
@@ -100,6 +100,8 @@
     pub(crate) no_time_before_stop: bool,
     /// Time after which the caller may come back; set when its pool refused the request.
     pub(crate) retry_after: Option<Duration>,
+    /// Whether all back ends that the request may go to want a pause.
+    pub(crate) is_pool_paused: bool,
     pub(crate) outcome: Outcome,
 }
 
@@ -322,6 +324,8 @@
             RefusalKind::SetAside
         } else if self.treatment() == Treatment::Probation {
             RefusalKind::OnProbation
+        } else if self.is_pool_paused {
+            RefusalKind::Paused
         } else if self.retry_after.is_some() {
             RefusalKind::Busy
         } else if self.history.sends > 0 {
--- a/crates/stacktack-direct/src/pool_admission.rs
+++ b/crates/stacktack-direct/src/pool_admission.rs
@@ -1,5 +1,7 @@
 //! Whether a request's pool admits it, and when its caller may come back if not.
 
+use std::time::Duration;
+
 use rand::RngExt;
 use stacktack_core::direct::admission::pool_load::PoolLoad;
 use stacktack_core::direct::admission::{AdmissionRequest, PoolAdmission, PoolDecision, SlotLimit};
@@ -8,6 +10,10 @@
 use crate::exchange::Exchange;
 use crate::router::pool_name;
 
+/// Time after the end of a pause within which the callers return that were refused during it. Only
+/// single requests reach the back ends at first.
+const PAUSE_RETURN_SPREAD: Duration = Duration::from_millis(500);
+
 /// Why a pool refuses a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum AdmissionRefusal {
@@ -150,6 +156,29 @@
             });
     }
 
+    /// If all back ends that the request may go to want a pause, records that the request is refused
+    /// because of it, and sets when its caller may come back.
+    pub(crate) fn note_pool_pause(&mut self) {
+        let Some(ends_in) = self.router.pool_pause(self.pool(), &self.tried) else {
+            return;
+        };
+        let now = self.router.now();
+        self.with_admission(|admission, _| admission.on_refused_in_pause(now));
+        let spread = PAUSE_RETURN_SPREAD.mul_f64(rand::rng().random());
+        let retry_after = ends_in + spread;
+        self.is_pool_paused = true;
+        self.retry_after = Some(retry_after);
+        log::info!(
+            target: "admission",
+            "id={} pool={} taken=false cause=paused pause_ends_in_ms={} sends={} retry_after_ms={}",
+            self.id,
+            pool_name(self.pool()),
+            ends_in.as_millis(),
+            self.history.sends,
+            retry_after.as_millis(),
+        );
+    }
+
     /// Records that the pool refuses the request, and sets when its caller may come back.
     pub(crate) fn refuse_admission(&mut self, choice: &Choice, cause: AdmissionRefusal) {
         let now = self.router.now();
--- a/crates/stacktack-direct/src/ports.rs
+++ b/crates/stacktack-direct/src/ports.rs
@@ -124,6 +124,8 @@
     Drained,
     /// All back ends of the pool are full.
     Busy,
+    /// All back ends of the pool want a pause.
+    Paused,
     /// Back ends crashed repeatedly while they ran the request; it is set aside and sent to none any
     /// more.
     SetAside,
@@ -163,6 +165,7 @@
             RefusalKind::NoBackEnd => "no_back_end",
             RefusalKind::Drained => "drained",
             RefusalKind::Busy => "busy",
+            RefusalKind::Paused => "paused",
             RefusalKind::SetAside => "set_aside",
             RefusalKind::OnProbation => "on_probation",
             RefusalKind::Rejected => "rejected",
--- a/crates/stacktack-direct/src/router.rs
+++ b/crates/stacktack-direct/src/router.rs
@@ -175,6 +175,9 @@
 /// Time after a stall in which a process reads what arrived during the stall.
 const CATCH_UP_TIME: Duration = Duration::from_millis(500);
 
+/// Mean time between the returns of two routers to a back end after a pause.
+const RETURN_SPACING: Duration = Duration::from_millis(10);
+
 /// Bytes of gossip that a router sends per second.
 const GOSSIP_BYTES_PER_SECOND: f64 = 1800.0;
 
@@ -363,6 +366,13 @@
             .reported_age(self.now())
     }
 
+    /// Random delay of this router's return to a back end after a pause: the routers that it turned
+    /// away return one after the other.
+    pub(crate) fn draw_return_delay(&self) -> Duration {
+        let draw: f64 = rand::rng().random();
+        (RETURN_SPACING * self.router_count() as u32).mul_f64(draw)
+    }
+
     /// What a back end announced and is in force, for logs.
     pub(crate) fn announced_text(&self, back_end: &str) -> &'static str {
         let back_ends = self.back_ends.borrow();
--- a/crates/stacktack-direct/src/sending.rs
+++ b/crates/stacktack-direct/src/sending.rs
@@ -18,7 +18,7 @@
 use crate::choice::Choice;
 use crate::client::{ClientConnection, ConnectError, SendError};
 use crate::exchange::Exchange;
-use crate::ports::ForwardMetadata;
+use crate::ports::{ForwardMetadata, PauseRequest};
 use crate::router::pool_name;
 
 /// Maximum time for connecting to a back end.
@@ -56,6 +56,7 @@
         }
         let limit = (!stream_in_progress).then(|| self.slot_limit());
         let Some(choice) = probation.or_else(|| self.select(limit)) else {
+            self.note_pool_pause();
             return AttemptOutcome::NoBackEnd;
         };
         if let Some(cause) = self.admission_refusal(&choice, stream_in_progress) {
@@ -84,8 +85,8 @@
             Err(failure) => {
                 match failure {
                     AttemptFailure::Broken => attempt.on_failure(),
-                    // Leaving says nothing about how the back end serves.
-                    AttemptFailure::BackEndLeft => {}
+                    // Neither says anything about how the back end serves.
+                    AttemptFailure::BackEndLeft | AttemptFailure::BackEndPaused => {}
                     _ => attempt.on_unreachable(),
                 }
                 self.crash_probe = self.record_interrupted_run(&attempt, failure);
@@ -158,8 +159,11 @@
             };
             // Connecting takes up to 150 ms: the back end may have stopped accepting work
             // meanwhile.
-            if !self.router.may_send(&attempt.back_end, attempt.instance) {
-                return Err(AttemptFailure::BackEndLeft);
+            let obstacle = self
+                .router
+                .send_obstacle(&attempt.back_end, attempt.instance);
+            if let Some(failure) = obstacle {
+                return Err(failure);
             }
             let request = self.back_end_request(attempt, resume_after, fetch_from);
             self.attempt_in_flight = true;
@@ -281,12 +285,19 @@
             return AttemptOutcome::Failure(AttemptFailure::OtherInstance, None);
         }
         attempt.on_announcements(&self.id, head.status, &response_info);
-        attempt.record_acceptance(!response_info.not_run);
+        // A pause shows neither that its pool is full nor that the back end fails: others take the
+        // requests meanwhile.
+        let asks_for_pause = matches!(response_info.pause, PauseRequest::For(_));
+        if !asks_for_pause {
+            attempt.record_acceptance(!response_info.not_run);
+        }
         if response_info.not_run {
             return AttemptOutcome::Failure(AttemptFailure::Rejected, None);
         }
         if head.status.is_server_error() {
-            attempt.on_failure();
+            if !asks_for_pause {
+                attempt.on_failure();
+            }
             let collected = Limited::new(body, MAX_FAILED_RESPONSE_BYTES)
                 .collect()
                 .await;
--- a/crates/stacktack-direct/tests/before_sending.rs
+++ b/crates/stacktack-direct/tests/before_sending.rs
@@ -20,6 +20,8 @@
 
 use common::{after, router};
 
+const LEFT: Option<AttemptFailure> = Some(AttemptFailure::BackEndLeft);
+
 fn entry(revision: u64) -> BackEndEntry {
     let labels = [("zone".to_owned(), "z1".to_owned())];
     BackEndEntry {
@@ -48,7 +50,7 @@
 fn announce(router: &Router, instance: InstanceId, announcement: Announcement) {
     let now = router.now();
     let mut back_ends = router.back_ends.borrow_mut();
-    back_ends.announce("a", instance, announcement, now);
+    back_ends.announce("a", instance, announcement, Duration::ZERO, now);
 }
 
 /// Creates a router that selected an instance of back end `a` a moment ago.
@@ -56,7 +58,7 @@
     let router = router();
     apply(&router, vec![entry(1)], Vec::new());
     let instance = InstanceId::of(&entry(1));
-    assert!(router.may_send("a", instance));
+    assert_eq!(router.send_obstacle("a", instance), None);
     after(100).await;
     (router, instance)
 }
@@ -69,15 +71,17 @@
         ..entry(2)
     };
     apply(&router, vec![leaving], Vec::new());
-    assert!(
-        !router.may_send("a", instance),
+    assert_eq!(
+        router.send_obstacle("a", instance),
+        LEFT,
         "its entry says that it leaves"
     );
 
     let (router, instance) = router_after_selection().await;
     announce(&router, instance, Announcement::Leaving);
-    assert!(
-        !router.may_send("a", instance),
+    assert_eq!(
+        router.send_obstacle("a", instance),
+        LEFT,
         "it announced in a response that it leaves"
     );
 
@@ -87,7 +91,11 @@
         revision: 2,
     };
     apply(&router, Vec::new(), vec![removed]);
-    assert!(!router.may_send("a", instance), "its entry was removed");
+    assert_eq!(
+        router.send_obstacle("a", instance),
+        LEFT,
+        "its entry was removed"
+    );
 
     let (router, instance) = router_after_selection().await;
     let restarted = BackEndEntry {
@@ -95,7 +103,11 @@
         ..entry(2)
     };
     apply(&router, vec![restarted], Vec::new());
-    assert!(!router.may_send("a", instance), "it is another instance");
+    assert_eq!(
+        router.send_obstacle("a", instance),
+        LEFT,
+        "it is another instance"
+    );
 
     let (router, instance) = router_after_selection().await;
     let drain = ZoneDrain {
@@ -104,11 +116,30 @@
         revision: 2,
     };
     router.merge_zone_drain(&drain, "store");
-    assert!(!router.may_send("a", instance), "its zone is drained");
+    assert_eq!(
+        router.send_obstacle("a", instance),
+        LEFT,
+        "its zone is drained"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn nothing_is_sent_to_a_back_end_that_has_asked_for_a_pause_since_it_was_chosen() {
+    let (router, instance) = router_after_selection().await;
+    let pause = Announcement::Pause(Duration::from_millis(300));
+    announce(&router, instance, pause);
+    let paused = Some(AttemptFailure::BackEndPaused);
+    assert_eq!(router.send_obstacle("a", instance), paused);
+    after(299).await;
+    assert_eq!(router.send_obstacle("a", instance), paused);
+    after(2).await;
+    assert_eq!(router.send_obstacle("a", instance), None);
 }
 
 #[test]
-fn a_request_to_a_back_end_that_left_was_not_run_and_counts_as_no_send() {
-    assert!(AttemptFailure::BackEndLeft.proves_not_run());
-    assert!(!AttemptFailure::BackEndLeft.counts_as_send());
+fn a_request_to_a_back_end_that_left_or_paused_was_not_run_and_counts_as_no_send() {
+    for failure in [AttemptFailure::BackEndLeft, AttemptFailure::BackEndPaused] {
+        assert!(failure.proves_not_run());
+        assert!(!failure.counts_as_send());
+    }
 }
--- a/crates/stacktack-direct/tests/rollouts.rs
+++ b/crates/stacktack-direct/tests/rollouts.rs
@@ -13,6 +13,7 @@
     BackEndEntry, DirectoryChange, SERVICE_LABEL, VERSION_LABEL,
 };
 use stacktack_core::direct::back_ends::outlier_detector::Retryability;
+use stacktack_core::direct::request::attempt::AttemptFailure;
 use stacktack_core::direct::rollout::exposure::ExposureBound;
 use stacktack_core::direct::rollout::order::RolloutOrder;
 use stacktack_core::direct::rollout::state::RolloutState;
@@ -235,7 +236,8 @@
         assert_eq!(candidates(&router), ["old"]);
         let instance =
             stacktack_core::direct::back_ends::directory::InstanceId::of(&entry("new", "v2"));
-        assert!(!router.may_send("new", instance));
+        let obstacle = router.send_obstacle("new", instance);
+        assert_eq!(obstacle, Some(AttemptFailure::BackEndLeft));
         after(60_000).await;
         store.down.set(false);
         after(2_000).await;
