Routers return spread evenly after a pause, and trials end after half a second

Found while writing the check of the return over 1 to 357 routers: the delay of the return was drawn over 10 ms per router and then cut at a quarter of the pause, so that of 357 routers after 3 s four of five would have returned in the same instant. The test looked at the first 100 ms only. The spread is cut now, and the draw taken within it; the test looks at each 100 ms. Trials lasted until one was answered, which holds up a back end whose responses take seconds: one that turns requests away does so at once, so they end after 0.5 s. Retry-After: 0 asks for no pause and counts as an ordinary rejection.

--- a/crates/stacktack-core/src/direct/back_ends/announcement.rs
+++ b/crates/stacktack-core/src/direct/back_ends/announcement.rs
@@ -15,10 +15,13 @@
 use crate::direct::back_ends::directory::InstanceId;
 use crate::time::Time;
 
-/// Interval between trials after a pause: a few requests of each router reach a back end that has
-/// not responded yet.
+/// Interval between trials after a pause.
 const TRIAL_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time from the first trial after which a back end counts as taking requests although it has
+/// responded to none: it turns requests away at once, while a response may take seconds.
+const TRIAL_TIME: Duration = Duration::from_millis(500);
+
 /// Maximum delay of the return after a pause, as a share of the pause.
 const MAX_RETURN_DELAY_SHARE: f64 = 0.25;
 
@@ -49,6 +52,22 @@
     }
 }
 
+/// Random delay of one router's return after the end of a pause.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ReturnDelay {
+    /// Time over which the routers of the fleet spread their returns, if the pause is long enough.
+    pub spread: Duration,
+    /// Position of this router within that time, uniform from 0 to 1.
+    pub draw: f64,
+}
+
+impl ReturnDelay {
+    fn after(self, pause: Duration) -> Duration {
+        let longest = pause.mul_f64(MAX_RETURN_DELAY_SHARE);
+        self.spread.min(longest).mul_f64(self.draw)
+    }
+}
+
 /// Announcements of one instance that are in force.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Announcements {
@@ -60,7 +79,7 @@
 ///
 /// A back end that turned many routers away would get all their requests back at the same moment.
 /// So each router returns a little after the end, and sends single trials until the back end has
-/// responded to one.
+/// responded to one, or has not turned one away for [`TRIAL_TIME`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Pause {
     /// End that the back end asked for.
@@ -69,32 +88,37 @@
     until: Time,
     /// When the next trial may be sent.
     next_trial: Time,
+    /// End of the trials, once the first one was sent.
+    trials_until: Option<Time>,
 }
 
 impl Announcements {
     /// Adds an announcement. Returns whether it changes what is known, other than by a slightly
-    /// later end of a pause. Of several pauses the one that ends last counts. `return_delay` is a
-    /// random time by which this router returns after the end of a pause, shortened for short
-    /// pauses.
-    pub fn add(&mut self, announcement: Announcement, return_delay: Duration, now: Time) -> bool {
+    /// later end of a pause. Of several pauses the one that ends last counts.
+    pub fn add(
+        &mut self,
+        announcement: Announcement,
+        return_delay: ReturnDelay,
+        now: Time,
+    ) -> bool {
         match announcement {
             Announcement::Leaving => !std::mem::replace(&mut self.leaving, true),
             Announcement::Pause(duration) => self.add_pause(duration, return_delay, now),
         }
     }
 
-    fn add_pause(&mut self, duration: Duration, return_delay: Duration, now: Time) -> bool {
+    fn add_pause(&mut self, duration: Duration, return_delay: ReturnDelay, now: Time) -> bool {
         let asked_until = now + duration;
         let before = self.pause.map_or(now, |pause| pause.asked_until.max(now));
         if asked_until <= before {
             return false;
         }
-        let max_delay = duration.mul_f64(MAX_RETURN_DELAY_SHARE);
-        let until = asked_until + return_delay.min(max_delay);
+        let until = asked_until + return_delay.after(duration);
         self.pause = Some(Pause {
             asked_until,
             until,
             next_trial: until,
+            trials_until: None,
         });
         asked_until.since(before) >= MIN_REPORTED_EXTENSION
     }
@@ -102,7 +126,8 @@
     /// A request is sent to the instance.
     pub(crate) fn on_send(&mut self, now: Time) {
         if let Some(pause) = self.pause.as_mut().filter(|pause| now >= pause.until) {
-            pause.next_trial = now + TRIAL_INTERVAL;
+            let trials_until = *pause.trials_until.get_or_insert(now + TRIAL_TIME);
+            pause.next_trial = (now + TRIAL_INTERVAL).min(trials_until);
         }
     }
 
--- a/crates/stacktack-core/src/direct/back_ends/mod.rs
+++ b/crates/stacktack-core/src/direct/back_ends/mod.rs
@@ -23,9 +23,10 @@
 pub mod zone_drain;
 
 use std::collections::{HashMap, HashSet, VecDeque};
-use std::time::Duration;
 
-use crate::direct::back_ends::announcement::{Announcement, Announcements, UnlistedAnnouncements};
+use crate::direct::back_ends::announcement::{
+    Announcement, Announcements, ReturnDelay, UnlistedAnnouncements,
+};
 use crate::direct::back_ends::back_end::BackEnd;
 use crate::direct::back_ends::directory::{
     BackEndEntry, DirectoryChange, DirectoryDelta, InstanceId, RemovedEntry,
@@ -170,13 +171,13 @@
     }
 
     /// Records what an instance of a back end announced in a response, whether or not the directory
-    /// lists it. See [`Announcements::add`] for the delay and the result.
+    /// lists it. See [`Announcements::add`] for the result.
     pub fn announce(
         &mut self,
         back_end: &str,
         instance: InstanceId,
         announcement: Announcement,
-        return_delay: Duration,
+        return_delay: ReturnDelay,
         now: Time,
     ) -> bool {
         let listed = self.members.get_mut(back_end);
--- a/crates/stacktack-core/tests/announcements.rs
+++ b/crates/stacktack-core/tests/announcements.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use stacktack_core::configuration::selector::Labels;
-use stacktack_core::direct::back_ends::announcement::Announcement;
+use stacktack_core::direct::back_ends::announcement::{Announcement, ReturnDelay};
 use stacktack_core::direct::back_ends::back_end::BackEnd;
 use stacktack_core::direct::back_ends::directory::{
     BackEndEntry, DirectoryChange, InstanceId, RemovedEntry,
@@ -14,6 +14,11 @@
 use stacktack_core::direct::back_ends::BackEnds;
 use stacktack_core::time::Time;
 
+const AT_ONCE: ReturnDelay = ReturnDelay {
+    spread: Duration::ZERO,
+    draw: 0.0,
+};
+
 fn at(milliseconds: u64) -> Time {
     Time(milliseconds * 1000)
 }
@@ -70,11 +75,18 @@
     ids
 }
 
-/// Announces a pause of `a`, with a return delay, both in milliseconds.
-fn announce_pause(all: &mut BackEnds, pause: u64, return_delay: u64, now: u64) -> bool {
+/// Announces a pause of `a` at a router that returns last within `spread`, all in milliseconds.
+fn announce_pause(all: &mut BackEnds, pause: u64, spread: u64, now: u64) -> bool {
+    let last = ReturnDelay {
+        spread: Duration::from_millis(spread),
+        draw: 1.0,
+    };
+    announce_pause_with(all, pause, last, now)
+}
+
+fn announce_pause_with(all: &mut BackEnds, pause: u64, delay: ReturnDelay, now: u64) -> bool {
     let announcement = Announcement::Pause(Duration::from_millis(pause));
-    let return_delay = Duration::from_millis(return_delay);
-    all.announce("a", instance("a"), announcement, return_delay, at(now))
+    all.announce("a", instance("a"), announcement, delay, at(now))
 }
 
 fn may_get_requests(all: &BackEnds, now: u64) -> bool {
@@ -82,13 +94,7 @@
 }
 
 fn announce_leave(all: &mut BackEnds, id: &str) -> bool {
-    all.announce(
-        id,
-        instance(id),
-        Announcement::Leaving,
-        Duration::ZERO,
-        at(0),
-    )
+    all.announce(id, instance(id), Announcement::Leaving, AT_ONCE, at(0))
 }
 
 #[test]
@@ -272,6 +278,25 @@
     assert!(may_get_requests(&all, 2150));
 }
 
+/// Guards against trials that hold up a back end whose responses take seconds.
+#[test]
+fn trials_end_when_none_was_turned_away_for_half_a_second() {
+    let mut all = back_ends(&["a"]);
+    announce_pause(&mut all, 1000, 0, 0);
+    let mut sent = 0;
+    for now in 1000..1500 {
+        if may_get_requests(&all, now) {
+            all.get_mut("a").expect("listed").on_send(at(now));
+            sent += 1;
+        }
+    }
+    assert_eq!(sent, 5);
+    for now in 1500..1600 {
+        assert!(may_get_requests(&all, now), "{now}");
+        all.get_mut("a").expect("listed").on_send(at(now));
+    }
+}
+
 #[test]
 fn a_trial_that_is_turned_away_starts_the_next_pause() {
     let mut all = back_ends(&["a"]);
@@ -303,28 +328,28 @@
     assert!(may_get_requests(&all, 100), "the next instance did not ask");
 }
 
-/// Guards against all routers that were turned away at one time returning at one time. Each has a
-/// request for the back end every millisecond; its first response takes half a second.
+/// Guards against all routers that were turned away at one time returning at one time: ten in 100 ms
+/// return as long as they all fit into a quarter of the pause.
 #[test]
 fn routers_return_one_after_the_other() {
     const PAUSE: u64 = 3000;
+    const WINDOW: usize = 100;
     for routers in [1, 4, 30, 103, 357] {
-        let mut arrivals = vec![0_usize; 5000];
+        let mut returns = vec![0_u64; PAUSE as usize * 2];
         for router in 0..routers {
             let mut all = back_ends(&["a"]);
-            // Evenly spread draws of a delay of up to 10 ms for each router.
-            announce_pause(&mut all, PAUSE, 10 * router, 0);
-            for now in 0..5000 {
-                if may_get_requests(&all, now) {
-                    all.get_mut("a").expect("listed").on_send(at(now));
-                    arrivals[now as usize] += 1;
-                }
-            }
+            let delay = ReturnDelay {
+                spread: Duration::from_millis(10 * routers),
+                draw: router as f64 / routers as f64,
+            };
+            announce_pause_with(&mut all, PAUSE, delay, 0);
+            let first = (0..).find(|now| may_get_requests(&all, *now));
+            returns[first.expect("it returns") as usize] += 1;
         }
-        assert_eq!(arrivals[..PAUSE as usize].iter().sum::<usize>(), 0);
-        let first = &arrivals[PAUSE as usize..PAUSE as usize + 100];
-        let most = 10.max(routers as usize / 2 + 1);
-        assert!(first.iter().sum::<usize>() <= most, "{routers} routers");
+        assert_eq!(returns[..PAUSE as usize].iter().sum::<u64>(), 0);
+        let most = returns.windows(WINDOW).map(|window| window.iter().sum());
+        let fit = 10.max((routers * WINDOW as u64).div_ceil(PAUSE / 4));
+        assert!(most.max() <= Some(fit + 1), "{routers} routers");
     }
 }
 
--- a/crates/stacktack-direct/src/ports.rs
+++ b/crates/stacktack-direct/src/ports.rs
@@ -78,10 +78,17 @@
     Absent,
     /// It wants no requests from this router for this time.
     For(Duration),
-    /// It names a time that cannot be read; the text as received.
+    /// It names a time that cannot be read; why.
     Unreadable(String),
 }
 
+impl PauseRequest {
+    /// Whether the back end wants no requests for some time.
+    pub fn is_pause(&self) -> bool {
+        matches!(self, PauseRequest::For(time) if !time.is_zero())
+    }
+}
+
 /// Metadata of a back end's response head.
 #[derive(Clone, Debug, Default)]
 pub struct BackEndResponseHead {
--- a/crates/stacktack-direct/src/router.rs
+++ b/crates/stacktack-direct/src/router.rs
@@ -10,7 +10,7 @@
 use rand::{Rng, RngExt};
 use stacktack_core::configuration::selector::{matches_all, Requirement};
 use stacktack_core::direct::admission::PoolAdmission;
-use stacktack_core::direct::back_ends::announcement::Announcement;
+use stacktack_core::direct::back_ends::announcement::{Announcement, ReturnDelay};
 use stacktack_core::direct::back_ends::directory::InstanceId;
 use stacktack_core::direct::back_ends::slow_start::KnownFleet;
 use stacktack_core::direct::back_ends::zone_drain::ZoneDrains;
@@ -368,9 +368,11 @@
 
     /// Random delay of this router's return to a back end after a pause: the routers that it turned
     /// away return one after the other.
-    pub(crate) fn draw_return_delay(&self) -> Duration {
-        let draw: f64 = rand::rng().random();
-        (RETURN_SPACING * self.router_count() as u32).mul_f64(draw)
+    pub(crate) fn draw_return_delay(&self) -> ReturnDelay {
+        ReturnDelay {
+            spread: RETURN_SPACING * self.router_count() as u32,
+            draw: rand::rng().random(),
+        }
     }
 
     /// What a back end announced and is in force, for logs.
--- a/crates/stacktack-direct/src/sending.rs
+++ b/crates/stacktack-direct/src/sending.rs
@@ -18,7 +18,7 @@
 use crate::choice::Choice;
 use crate::client::{ClientConnection, ConnectError, SendError};
 use crate::exchange::Exchange;
-use crate::ports::{ForwardMetadata, PauseRequest};
+use crate::ports::ForwardMetadata;
 use crate::router::pool_name;
 
 /// Maximum time for connecting to a back end.
@@ -287,7 +287,7 @@
         attempt.on_announcements(&self.id, head.status, &response_info);
         // A pause shows neither that its pool is full nor that the back end fails: others take the
         // requests meanwhile.
-        let asks_for_pause = matches!(response_info.pause, PauseRequest::For(_));
+        let asks_for_pause = response_info.pause.is_pause();
         if !asks_for_pause {
             attempt.record_acceptance(!response_info.not_run);
         }
--- a/crates/stacktack-direct/tests/before_sending.rs
+++ b/crates/stacktack-direct/tests/before_sending.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use stacktack_core::configuration::selector::Labels;
-use stacktack_core::direct::back_ends::announcement::Announcement;
+use stacktack_core::direct::back_ends::announcement::{Announcement, ReturnDelay};
 use stacktack_core::direct::back_ends::directory::{
     BackEndEntry, DirectoryDelta, InstanceId, RemovedEntry,
 };
@@ -20,6 +20,11 @@
 
 use common::{after, router};
 
+const AT_ONCE: ReturnDelay = ReturnDelay {
+    spread: Duration::ZERO,
+    draw: 0.0,
+};
+
 const LEFT: Option<AttemptFailure> = Some(AttemptFailure::BackEndLeft);
 
 fn entry(revision: u64) -> BackEndEntry {
@@ -50,7 +55,7 @@
 fn announce(router: &Router, instance: InstanceId, announcement: Announcement) {
     let now = router.now();
     let mut back_ends = router.back_ends.borrow_mut();
-    back_ends.announce("a", instance, announcement, Duration::ZERO, now);
+    back_ends.announce("a", instance, announcement, AT_ONCE, now);
 }
 
 /// Creates a router that selected an instance of back end `a` a moment ago.
