--- a/crates/stacktack-core/src/direct/back_ends/back_end.rs
+++ b/crates/stacktack-core/src/direct/back_ends/back_end.rs
@@ -13,7 +13,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::direct::back_ends::announcement::Announcements;
-use crate::direct::back_ends::directory::{BackEndEntry, VanishedInstance};
+use crate::direct::back_ends::directory::{BackEndEntry, InstanceId, VanishedInstance};
 use crate::direct::back_ends::health::{Health, MemberStats, PoolMedians};
 use crate::direct::back_ends::load::BackEndLoad;
 use crate::direct::back_ends::outlier_detector::{OutlierDetector, Retryability};
@@ -144,7 +144,10 @@
 
     /// The instance, as one that vanished from the directory; `None` if it was to leave.
     pub(crate) fn vanished(&self) -> Option<VanishedInstance> {
-        VanishedInstance::of(&self.entry).filter(|_| !self.is_leaving())
+        (!self.is_leaving()).then(|| VanishedInstance {
+            back_end: self.entry.id.clone(),
+            instance: InstanceId::of(&self.entry),
+        })
     }
 
     /// What this instance announced in responses to this router.
--- a/crates/stacktack-core/src/direct/back_ends/directory.rs
+++ b/crates/stacktack-core/src/direct/back_ends/directory.rs
@@ -71,8 +71,7 @@
     }
 }
 
-/// Instance that left the directory, or was replaced there, without having been marked as
-/// leaving.
+/// Instance that left the directory, or was replaced there, and was not to leave.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct VanishedInstance {
     /// Id of the back end.
@@ -81,16 +80,6 @@
     pub instance: InstanceId,
 }
 
-impl VanishedInstance {
-    /// Returns the instance that an entry described, unless the entry was marked as leaving.
-    pub fn of(entry: &BackEndEntry) -> Option<Self> {
-        (!entry.leaving).then(|| VanishedInstance {
-            back_end: entry.id.clone(),
-            instance: InstanceId::of(entry),
-        })
-    }
-}
-
 /// Removal of an entry from the directory.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RemovedEntry {
