A stalled answer no longer keeps a router from polling the store

What callers saw (on virtual time): a router whose read of the configuration stops arriving midway, on a connection that stays open, and whose peers are then gone had a version in force 8.54 s after its confirmation; 3 s are allowed.

Cause: polls are held back while an answer is arriving, and an answer counted as arriving from its first byte until its call was given up, ten seconds after the last one, although the call had long been late. Where peers tell fresh news at the moment in which it becomes late, no other call is made either. Class: a state that is entered by progress and not left when progress ends. The directory uses the same calls and had the same fault; other reads of the store and of peers end when nothing arrives for a bounded time.

Evidence: a_stalled_answer_does_not_hide_versions_from_a_router_whose_peers_are_gone fails before ("pause 0 ms: 8.54s late") and passes after, for twelve pauses.

Why this works: what a late call has received no longer counts; the store is polled as soon as knowledge is stale, beside the call, whose answer is still used if it comes.

--- a/crates/stacktack-direct/src/calls.rs
+++ b/crates/stacktack-direct/src/calls.rs
@@ -158,10 +158,11 @@
         });
     }
 
-    /// Whether an answer has begun to arrive.
+    /// Whether an answer is arriving: it has begun to, and has not stalled for so long that its call
+    /// is late.
     pub fn has_arriving_answer(&self) -> bool {
         let mut calls = self.in_flight.iter();
-        calls.any(|call| call.ended.transfer.bytes() > 0)
+        calls.any(|call| !call.late && call.ended.transfer.bytes() > 0)
     }
 
     /// Call this once an answer was applied. It drops the calls in flight, since their answers
--- a/crates/stacktack-direct/tests/configuration_in_force/main.rs
+++ b/crates/stacktack-direct/tests/configuration_in_force/main.rs
@@ -342,3 +342,38 @@
         follow(&store, None, script).await;
     }
 }
+
+/// An answer that stops arriving on an open connection kept a router from polling the store for ten
+/// seconds, although the peers that had kept it up to date were gone.
+#[tokio::test(start_paused = true)]
+async fn a_stalled_answer_does_not_hide_versions_from_a_router_whose_peers_are_gone() {
+    for pause_ms in (0..6000).step_by(500) {
+        let link = Link::new(WIDE_BYTES_PER_SECOND);
+        let store = Store::new(link.clone(), Duration::from_millis(5));
+        store.confirm();
+        let peer = Peer::new(link);
+        let script = |router: Rc<Router>, _: Rc<StoreMonitor>| {
+            let (store, peer) = (store.clone(), peer.clone());
+            async move {
+                after(5000).await;
+                store.stalled_answers.set(1);
+                store.confirm();
+                peer.watches.set(true);
+                after(2000).await;
+                assert_eq!(
+                    (router.configuration_version(), store.stalled_answers.get()),
+                    (2, 0)
+                );
+                peer.silent.set(true);
+                after(pause_ms).await;
+                store.confirm();
+                let longest = max_apply_delay(&router, &store, Duration::from_secs(12)).await;
+                assert!(
+                    longest <= APPLY_BOUND,
+                    "pause {pause_ms} ms: {longest:?} late"
+                );
+            }
+        };
+        follow(&store, Some(peer.clone()), script).await;
+    }
+}
--- a/crates/stacktack-direct/tests/configuration_in_force/simulation.rs
+++ b/crates/stacktack-direct/tests/configuration_in_force/simulation.rs
@@ -9,6 +9,7 @@
 use stacktack_core::configuration::selector::Requirement;
 use stacktack_core::direct::back_ends::directory::DirectoryDelta;
 use stacktack_core::direct::back_ends::zone_drain::ZoneDrainUpdate;
+use stacktack_core::direct::peers::source_age::{EncodedAge, SourceAges, SourceRead, SourceReads};
 use stacktack_core::direct::traffic::route::{
     Route, RouteKind, RouteTable, Target, TrafficConfiguration,
 };
@@ -104,6 +105,8 @@
     pub reachable: Cell<bool>,
     /// Number of next calls that are never answered.
     pub unanswered_calls: Cell<u32>,
+    /// Number of next answers that stop arriving after their first bytes.
+    pub stalled_answers: Cell<u32>,
     /// Oldest revision after which changes are still kept.
     pub oldest_kept_revision: Cell<u64>,
     /// Versions and when they were confirmed; the revision is the index + 1.
@@ -119,6 +122,7 @@
             latency: Cell::new(latency),
             reachable: Cell::new(true),
             unanswered_calls: Cell::new(0),
+            stalled_answers: Cell::new(0),
             oldest_kept_revision: Cell::new(0),
             confirmed: RefCell::default(),
             changed: Notify::new(),
@@ -196,6 +200,11 @@
             None => revision.min(1),
         };
         sleep(self.latency.get()).await;
+        if self.stalled_answers.get() > 0 {
+            self.stalled_answers.set(self.stalled_answers.get() - 1);
+            transfer.on_bytes(1);
+            return std::future::pending().await;
+        }
         let bytes = documents as usize * DOCUMENT_BYTES;
         self.link.carry(bytes, transfer).await;
         Ok(ConfigurationUpdate {
@@ -305,6 +314,10 @@
 pub struct Peer {
     pub router: Rc<Router>,
     pub link: Rc<Link>,
+    /// Whether its gossip tells that it reads the store all the time.
+    pub watches: Cell<bool>,
+    /// Whether it sends nothing any more.
+    pub silent: Cell<bool>,
 }
 
 impl Peer {
@@ -312,6 +325,8 @@
         Rc::new(Peer {
             router: router(),
             link,
+            watches: Cell::new(false),
+            silent: Cell::new(false),
         })
     }
 }
@@ -324,6 +339,9 @@
         transfer: Rc<Transfer>,
     ) -> LocalBoxFuture<'_, Result<PeerUpdate, SourceError>> {
         Box::pin(async move {
+            if self.silent.get() {
+                return std::future::pending().await;
+            }
             let (_, body) = respond_to_peer(&self.router, &query.path_and_query());
             self.link.carry(body.len(), &transfer).await;
             PeerUpdate::decode(&body)
@@ -340,12 +358,30 @@
             peer.router
                 .apply_configuration(Arc::new(configuration(next)));
         }
-        let (version, revision) = (
+        let revision = store.revision();
+        let (version, directory) = (
             peer.router.configuration_version(),
             peer.router.directory_revision(),
         );
-        let gossip = steady_peer_gossip(SocketAddr::from(([127, 0, 0, 1], 10)), version, revision);
+        let gossip = steady_peer_gossip(SocketAddr::from(([127, 0, 0, 1], 10)), version, directory);
+        if peer.silent.get() {
+            continue;
+        }
         router.peers.borrow_mut().receive(&gossip, router.now());
+        if peer.watches.get() {
+            let ages = SourceAges {
+                directory: None,
+                configuration: EncodedAge::new(Duration::ZERO),
+            };
+            let reads = SourceReads {
+                configuration: SourceRead {
+                    revision,
+                    answered_at_ms: store.clock_ms(),
+                },
+                ..SourceReads::default()
+            };
+            router.apply_source_ages(&gossip, &ages, &reads);
+        }
     }
 }
 
