--- a/crates/stacktack-direct/tests/configuration_in_force/main.rs
+++ b/crates/stacktack-direct/tests/configuration_in_force/main.rs
@@ -343,8 +343,7 @@
     }
 }
 
-/// An answer that stops arriving on an open connection kept a router from polling the store for ten
-/// seconds, although the peers that had kept it up to date were gone.
+/// While an answer has stopped arriving, its router must go on polling the store.
 #[tokio::test(start_paused = true)]
 async fn a_stalled_answer_does_not_hide_versions_from_a_router_whose_peers_are_gone() {
     for pause_ms in (0..6000).step_by(500) {
