--- a/crates/stacktack-direct/src/followers/directory.rs
+++ b/crates/stacktack-direct/src/followers/directory.rs
@@ -302,12 +302,9 @@
     let mut pending = router.pending_removals.borrow_mut();
     let mut removed = delta.gone;
     if delta.whole {
-        let missing = back_ends.missing_from(&delta.present, read_at);
-        if !missing.is_empty() {
-            // A snapshot doesn't say at which revision a missing entry was removed.
-            revision = read_at;
-        }
-        removed.extend(missing);
+        // Removals before the snapshot have left no entry with their revision.
+        revision = read_at;
+        removed.extend(back_ends.missing_from(&delta.present, read_at));
         back_ends.on_snapshot(revision);
     }
     let changed = router.received_directory_revision.get().max(revision);
