--- a/crates/stacktack-direct/tests/configuration_in_force/simulation.rs
+++ b/crates/stacktack-direct/tests/configuration_in_force/simulation.rs
@@ -358,15 +358,15 @@
             peer.router
                 .apply_configuration(Arc::new(configuration(next)));
         }
+        if peer.silent.get() {
+            continue;
+        }
         let revision = store.revision();
         let (version, directory) = (
             peer.router.configuration_version(),
             peer.router.directory_revision(),
         );
         let gossip = steady_peer_gossip(SocketAddr::from(([127, 0, 0, 1], 10)), version, directory);
-        if peer.silent.get() {
-            continue;
-        }
         router.peers.borrow_mut().receive(&gossip, router.now());
         if peer.watches.get() {
             let ages = SourceAges {
