Logs: prompt parts of the runs that a crash interrupted, and whether each is proven

A crash was logged with digests of whole requests only, so that nobody could tell what requests that are new each time had in common. The line `ended` now lists the parts that most interrupted runs shared, with their digest, number of runs and whether a whole response on the part is known at that software version. No choice has changed.

--- a/crates/stacktack-core/src/direct/quarantine/digest.rs
+++ b/crates/stacktack-core/src/direct/quarantine/digest.rs
@@ -1,8 +1,9 @@
-//! Identity of a request across all its tries.
+//! Digests of what may crash a back end: a request across all its tries, or a part of a prompt.
 //!
-//! Each try has an id of its own, while the caller and the content stay the same. The digest covers
-//! the caller, so that a caller's requests cannot count as those of another one. It is
-//! cryptographic, so that no two requests with the same digest can be found.
+//! Each try of a request has an id of its own, while the caller and the content stay the same. The
+//! digest covers the caller, so that a caller's requests cannot count as those of another one. It
+//! is cryptographic, so that no two requests, and no request and part, with the same digest can be
+//! found.
 
 use std::fmt::{Display, Formatter};
 use std::str::FromStr;
@@ -30,35 +31,46 @@
     pub body: &'a [u8],
 }
 
-/// Digest of a [`RequestIdentity`].
+/// Distinguishes the digests of prompt parts from those of requests.
+const PART_DOMAIN: &[u8] = b"prompt part";
+
+/// Digest of a [`RequestIdentity`] or of a prompt part.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct RequestDigest([u8; DIGEST_BYTES]);
+pub struct SuspectDigest([u8; DIGEST_BYTES]);
 
 /// Error for a text that is not a digest.
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
 #[error("not a digest of {DIGEST_BYTES} bytes in hexadecimal")]
 pub struct DigestError;
 
-impl RequestDigest {
+impl SuspectDigest {
     /// The digest of a request.
-    pub fn of(identity: &RequestIdentity<'_>) -> Self {
-        let mut hash = Sha256::new();
-        let parts = [
+    pub fn of_request(identity: &RequestIdentity<'_>) -> Self {
+        SuspectDigest::of_fields(&[
             identity.caller.as_bytes(),
             identity.method.as_bytes(),
             identity.host.as_bytes(),
             identity.target.as_bytes(),
             identity.body,
-        ];
-        for part in parts {
-            // The length separates the parts: bytes cannot move from one to the next.
-            hash.update((part.len() as u64).to_le_bytes());
-            hash.update(part);
+        ])
+    }
+
+    /// The digest of a prompt part at the back ends of a pool.
+    pub fn of_part(pool: &str, part_id: u64) -> Self {
+        SuspectDigest::of_fields(&[PART_DOMAIN, pool.as_bytes(), &part_id.to_le_bytes()])
+    }
+
+    fn of_fields(fields: &[&[u8]]) -> Self {
+        let mut hash = Sha256::new();
+        for field in fields {
+            // The length separates the fields: bytes cannot move from one to the next.
+            hash.update((field.len() as u64).to_le_bytes());
+            hash.update(field);
         }
         let whole = hash.finalize();
         let mut bytes = [0; DIGEST_BYTES];
         bytes.copy_from_slice(&whole[..DIGEST_BYTES]);
-        RequestDigest(bytes)
+        SuspectDigest(bytes)
     }
 
     /// First eight bytes as a number, for rendezvous hashing.
@@ -69,7 +81,7 @@
     }
 }
 
-impl Display for RequestDigest {
+impl Display for SuspectDigest {
     fn fmt(&self, formatter: &mut Formatter<'_>) -> std::fmt::Result {
         self.0
             .iter()
@@ -77,7 +89,7 @@
     }
 }
 
-impl FromStr for RequestDigest {
+impl FromStr for SuspectDigest {
     type Err = DigestError;
 
     fn from_str(text: &str) -> Result<Self, DigestError> {
@@ -89,6 +101,6 @@
             let digits = &text[2 * index..2 * index + 2];
             *byte = u8::from_str_radix(digits, 16).map_err(|_| DigestError)?;
         }
-        Ok(RequestDigest(bytes))
+        Ok(SuspectDigest(bytes))
     }
 }
--- a/crates/stacktack-core/src/direct/quarantine/interrupted_runs.rs
+++ b/crates/stacktack-core/src/direct/quarantine/interrupted_runs.rs
@@ -7,10 +7,13 @@
 //! kept here; after 8 s it is dropped and does not count.
 
 use std::collections::HashMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 use crate::direct::back_ends::directory::InstanceId;
-use crate::direct::quarantine::digest::RequestDigest;
+use crate::direct::quarantine::digest::SuspectDigest;
+use crate::direct::quarantine::suspects::SuspectPart;
+use crate::direct::stream_versions::software_version::VersionHash;
 use crate::time::Time;
 
 /// Time for which an interrupted run is kept while its cause is not known, and for which an ended
@@ -26,7 +29,11 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct InterruptedRun {
     /// Request that was running.
-    pub digest: RequestDigest,
+    pub digest: SuspectDigest,
+    /// Parts of its prompt that may be blamed.
+    pub parts: Rc<[SuspectPart]>,
+    /// Software version of the back end.
+    pub version: VersionHash,
     /// Id of the caller's try that the run belongs to, for logs.
     pub try_id: String,
     /// Whether the request ran on probation, apart from others on probation at its router.
@@ -80,3 +87,17 @@
         });
     }
 }
+
+/// The parts that interrupted runs had in their prompts, each with the number of these runs, most
+/// frequent first.
+pub fn count_parts(runs: &[InterruptedRun]) -> Vec<(SuspectPart, usize)> {
+    let mut counts: Vec<(SuspectPart, usize)> = Vec::new();
+    for part in runs.iter().flat_map(|run| run.parts.iter()) {
+        match counts.iter_mut().find(|(counted, _)| counted == part) {
+            Some((_, count)) => *count += 1,
+            None => counts.push((*part, 1)),
+        }
+    }
+    counts.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
+    counts
+}
--- a/crates/stacktack-core/src/direct/quarantine/mod.rs
+++ b/crates/stacktack-core/src/direct/quarantine/mod.rs
@@ -16,20 +16,27 @@
 //! - [`digest`]: identity of a request across all its tries.
 //! - [`interrupted_runs`]: runs that broke off or timed out, while it is not known whether their
 //!   back end crashed.
+//! - [`suspects`]: what the runs of one request may be blamed on.
+//! - [`proven_parts`]: prompt parts on which back ends generated whole responses.
 //! - [`record`]: mergeable record of the crashes under one request.
 //! - [`probation`]: choice of the back end for a request on probation.
 
 pub mod digest;
 pub mod interrupted_runs;
 pub mod probation;
+pub mod proven_parts;
 pub mod record;
+pub mod suspects;
 
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use crate::direct::back_ends::directory::InstanceId;
-use crate::direct::quarantine::digest::RequestDigest;
+use crate::direct::quarantine::digest::SuspectDigest;
+use crate::direct::quarantine::proven_parts::ProvenParts;
 use crate::direct::quarantine::record::{Record, RecordGossip, Treatment};
+use crate::direct::quarantine::suspects::SuspectPart;
+use crate::direct::stream_versions::software_version::VersionHash;
 use crate::time::Time;
 
 /// Maximum number of records, some 150 bytes each. A crash adds one for each run that it
@@ -66,7 +73,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct StoredVerdict {
     /// Request that is set aside.
-    pub digest: RequestDigest,
+    pub digest: SuspectDigest,
     /// Epoch of the request's record that the verdict belongs to.
     pub epoch: u32,
 }
@@ -75,7 +82,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TreatmentChange {
     /// Request whose treatment changed.
-    pub digest: RequestDigest,
+    pub digest: SuspectDigest,
     /// Treatment before the change.
     pub before: Treatment,
     /// Treatment from now on.
@@ -89,9 +96,10 @@
 /// A router's records of requests that crash back ends.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
-    records: HashMap<RequestDigest, Record>,
+    records: HashMap<SuspectDigest, Record>,
+    proven_parts: ProvenParts,
     /// Requests whose verdict the store may still hold although they were cleared.
-    outdated: BTreeSet<RequestDigest>,
+    outdated: BTreeSet<SuspectDigest>,
     /// Position of the next older verdict to gossip, modulo their number.
     next_old_verdict: usize,
 }
@@ -120,7 +128,7 @@
     }
 
     /// Treatment of a request that arrived at `now`. Notes that its record was used.
-    pub fn treatment(&mut self, digest: RequestDigest, now: Time) -> Treatment {
+    pub fn treatment(&mut self, digest: SuspectDigest, now: Time) -> Treatment {
         let Some(record) = self.records.get_mut(&digest) else {
             return Treatment::Usual;
         };
@@ -131,7 +139,7 @@
     /// Records that a back end instance crashed while it ran a request.
     pub fn on_crash(
         &mut self,
-        digest: RequestDigest,
+        digest: SuspectDigest,
         instance: InstanceId,
         on_probation: bool,
         now: Time,
@@ -146,10 +154,22 @@
         Some(change)
     }
 
+    /// Records that a back end of a version generated a whole response on these parts.
+    pub fn on_complete_response(&mut self, parts: &[SuspectPart], version: VersionHash) {
+        for part in parts {
+            self.proven_parts.record(part.digest, version);
+        }
+    }
+
+    /// Whether a whole response on a part is known, from a back end of a version.
+    pub fn is_proven(&self, part: &SuspectPart, version: VersionHash) -> bool {
+        self.proven_parts.is_proven(part.digest, version)
+    }
+
     /// Clears a request after a successful run: it did not cause the crashes.
     pub fn on_successful_run(
         &mut self,
-        digest: RequestDigest,
+        digest: SuspectDigest,
         now: Time,
     ) -> Option<TreatmentChange> {
         let record = self.records.get(&digest)?;
@@ -159,7 +179,7 @@
         self.clear(digest, now)
     }
 
-    fn clear(&mut self, digest: RequestDigest, now: Time) -> Option<TreatmentChange> {
+    fn clear(&mut self, digest: SuspectDigest, now: Time) -> Option<TreatmentChange> {
         let change = self.update(digest, |record| record.clear(now))?;
         if change.before == Treatment::SetAside {
             self.outdated.insert(digest);
@@ -193,7 +213,7 @@
     /// Updates a record and returns the resulting change of treatment, if any.
     fn update(
         &mut self,
-        digest: RequestDigest,
+        digest: SuspectDigest,
         apply: impl FnOnce(&mut Record),
     ) -> Option<TreatmentChange> {
         let record = self.records.entry(digest).or_default();
@@ -209,7 +229,7 @@
         })
     }
 
-    fn schedule_write(&mut self, digest: RequestDigest, due: Time) {
+    fn schedule_write(&mut self, digest: SuspectDigest, due: Time) {
         if let Some(record) = self.records.get_mut(&digest) {
             if record.stored_since.is_none() {
                 record.store_due = Some(due);
@@ -289,7 +309,7 @@
     }
 
     /// Requests whose verdict is to be removed from the store.
-    pub fn verdicts_to_remove(&self) -> Vec<RequestDigest> {
+    pub fn verdicts_to_remove(&self) -> Vec<SuspectDigest> {
         self.outdated.iter().copied().collect()
     }
 
@@ -297,7 +317,7 @@
     pub fn on_verdicts_written(
         &mut self,
         written: &[StoredVerdict],
-        removed: &[RequestDigest],
+        removed: &[SuspectDigest],
         now: Time,
     ) {
         for verdict in written {
@@ -341,13 +361,13 @@
             }
             changes.extend(change);
         }
-        let is_listed = |digest: &RequestDigest| {
+        let is_listed = |digest: &SuspectDigest| {
             let mut listed = verdicts.iter();
             listed.any(|verdict| verdict.digest == *digest)
         };
         let was_stored =
             |record: &Record| record.stored_since.is_some_and(|since| since < read_began);
-        let lifted: Vec<RequestDigest> = self
+        let lifted: Vec<SuspectDigest> = self
             .records
             .iter()
             .filter(|(digest, record)| {
--- a/crates/stacktack-core/src/direct/quarantine/probation.rs
+++ b/crates/stacktack-core/src/direct/quarantine/probation.rs
@@ -8,7 +8,7 @@
 
 use crate::direct::back_ends::health::Health;
 use crate::direct::choice::select::DirectCandidate;
-use crate::direct::quarantine::digest::RequestDigest;
+use crate::direct::quarantine::digest::SuspectDigest;
 
 /// Number of back ends that a request on probation may run on. With one, an innocent request would
 /// wait for as long as that back end is unavailable, and nothing would distinguish the request
@@ -19,7 +19,7 @@
 /// that its digest selects can take it.
 pub fn select_for_probation(
     candidates: &[DirectCandidate],
-    digest: RequestDigest,
+    digest: SuspectDigest,
     is_free: impl Fn(&DirectCandidate) -> bool,
 ) -> Option<&DirectCandidate> {
     let mut order: Vec<&DirectCandidate> = candidates.iter().collect();
--- a/crates/stacktack-core/src/direct/quarantine/record.rs
+++ b/crates/stacktack-core/src/direct/quarantine/record.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::direct::back_ends::directory::InstanceId;
-use crate::direct::quarantine::digest::RequestDigest;
+use crate::direct::quarantine::digest::SuspectDigest;
 use crate::time::Time;
 
 /// Number of crashes from which a request runs only on probation. One crash says little, since it
@@ -66,7 +66,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RecordGossip {
     /// Request that the record is about.
-    pub digest: RequestDigest,
+    pub digest: SuspectDigest,
     /// Number of times that the request was cleared.
     pub epoch: u32,
     /// Instances that crashed under the request in this epoch; empty once it is set aside.
@@ -203,7 +203,7 @@
         }
     }
 
-    pub fn gossip(&self, digest: RequestDigest) -> RecordGossip {
+    pub fn gossip(&self, digest: SuspectDigest) -> RecordGossip {
         let gossiped = |instances: &[InstanceId]| match self.set_aside {
             true => Vec::new(),
             false => instances.to_vec(),
--- a/crates/stacktack-core/tests/quarantine/main.rs
+++ b/crates/stacktack-core/tests/quarantine/main.rs
@@ -17,6 +17,7 @@
 use stacktack_core::direct::quarantine::interrupted_runs::{InterruptedRun, InterruptedRuns};
 use stacktack_core::direct::quarantine::record::{RecordGossip, Treatment};
 use stacktack_core::direct::quarantine::{Quarantine, StoredVerdict};
+use stacktack_core::direct::stream_versions::software_version::SoftwareVersion;
 use stacktack_core::time::Time;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -365,6 +366,12 @@
     let mut runs = InterruptedRuns::default();
     let run = |number, at| InterruptedRun {
         digest: digest(number),
+        parts: [].into(),
+        version: SoftwareVersion {
+            service: "m".to_owned(),
+            version: "v1".to_owned(),
+        }
+        .hash(),
         try_id: number.to_string(),
         on_probation: false,
         at,
--- a/crates/stacktack-core/tests/quarantine/simulation.rs
+++ b/crates/stacktack-core/tests/quarantine/simulation.rs
@@ -17,7 +17,7 @@
 use stacktack_core::direct::choice::select::DirectCandidate;
 use stacktack_core::direct::peers::peer_gossip::{OwnGossip, PeerGossip, ZoneHash};
 use stacktack_core::direct::peers::Peers;
-use stacktack_core::direct::quarantine::digest::{RequestDigest, RequestIdentity};
+use stacktack_core::direct::quarantine::digest::{RequestIdentity, SuspectDigest};
 use stacktack_core::direct::quarantine::probation::select_for_probation;
 use stacktack_core::direct::quarantine::record::{RecordGossip, Treatment};
 use stacktack_core::direct::quarantine::Quarantine;
@@ -148,8 +148,8 @@
     ))
 }
 
-pub fn digest(request: u64) -> RequestDigest {
-    RequestDigest::of(&RequestIdentity {
+pub fn digest(request: u64) -> SuspectDigest {
+    SuspectDigest::of_request(&RequestIdentity {
         caller: "caller",
         method: "POST",
         host: "host",
@@ -420,7 +420,7 @@
         (!up.is_empty()).then(|| up[self.random.random_range(0..up.len())])
     }
 
-    fn probation_back_end(&self, digest: RequestDigest) -> Option<usize> {
+    fn probation_back_end(&self, digest: SuspectDigest) -> Option<usize> {
         let candidates: Vec<DirectCandidate> = self
             .back_ends
             .iter()
--- a/crates/stacktack-core/tests/request_digest.rs
+++ b/crates/stacktack-core/tests/request_digest.rs
@@ -1,6 +1,6 @@
 //! Tries have the same digest only if they are tries of the same request.
 
-use stacktack_core::direct::quarantine::digest::{DigestError, RequestDigest, RequestIdentity};
+use stacktack_core::direct::quarantine::digest::{DigestError, RequestIdentity, SuspectDigest};
 
 const REQUEST: RequestIdentity<'_> = RequestIdentity {
     caller: "tenant-one",
@@ -34,10 +34,10 @@
             ..REQUEST
         },
     ];
-    let own = RequestDigest::of(&REQUEST);
-    assert_eq!(own, RequestDigest::of(&REQUEST));
+    let own = SuspectDigest::of_request(&REQUEST);
+    assert_eq!(own, SuspectDigest::of_request(&REQUEST));
     for other in others {
-        assert_ne!(own, RequestDigest::of(&other), "{other:?}");
+        assert_ne!(own, SuspectDigest::of_request(&other), "{other:?}");
     }
 }
 
@@ -53,12 +53,15 @@
         body: b"z",
         ..REQUEST
     };
-    assert_ne!(RequestDigest::of(&first), RequestDigest::of(&second));
+    assert_ne!(
+        SuspectDigest::of_request(&first),
+        SuspectDigest::of_request(&second)
+    );
 }
 
 #[test]
 fn the_text_of_a_digest_is_parsed_back_and_invalid_texts_are_rejected() {
-    let digest = RequestDigest::of(&REQUEST);
+    let digest = SuspectDigest::of_request(&REQUEST);
     assert_eq!(digest.to_string().parse(), Ok(digest));
     for text in [
         "",
@@ -66,6 +69,6 @@
         "zz0000000000000000000000",
         "0123456789abcdef0123456é",
     ] {
-        assert_eq!(text.parse::<RequestDigest>(), Err(DigestError), "{text}");
+        assert_eq!(text.parse::<SuspectDigest>(), Err(DigestError), "{text}");
     }
 }
--- a/crates/stacktack-direct/src/admission.rs
+++ b/crates/stacktack-direct/src/admission.rs
@@ -163,6 +163,7 @@
         admitted_after_deregistration,
         deadline,
         digest,
+        suspect_parts: OnceCell::new(),
         crash_probe: None,
         history: AttemptHistory::default(),
         attempt_in_flight: false,
--- a/crates/stacktack-direct/src/crash_detection.rs
+++ b/crates/stacktack-direct/src/crash_detection.rs
@@ -9,7 +9,8 @@
 use futures_util::FutureExt;
 use stacktack_core::direct::back_ends::back_end::BackEnd;
 use stacktack_core::direct::back_ends::directory::{InstanceId, VanishedInstance};
-use stacktack_core::direct::quarantine::interrupted_runs::InterruptedRun;
+use stacktack_core::direct::quarantine::interrupted_runs::{count_parts, InterruptedRun};
+use stacktack_core::direct::quarantine::suspects::SuspectPart;
 use stacktack_core::direct::request::attempt::AttemptFailure;
 use stacktack_core::time::Time;
 
@@ -37,6 +38,9 @@
 /// Maximum number of interrupted runs that one log line lists.
 const MAX_LOGGED_RUNS: usize = 12;
 
+/// Maximum number of prompt parts that one log line lists.
+const MAX_LOGGED_PARTS: usize = 6;
+
 /// A crash probe that is running or recently finished.
 pub(crate) struct CrashProbe {
     started: Time,
@@ -68,6 +72,8 @@
         }
         let run = InterruptedRun {
             digest: self.digest(),
+            parts: self.suspect_parts(),
+            version: attempt.version.hash(),
             try_id: self.id.clone(),
             on_probation: attempt.on_probation,
             at: self.router.now(),
@@ -151,9 +157,10 @@
             .collect();
         log::info!(
             target: "ended",
-            "back_end={back_end} ended=true cause={cause} broken={} requests={}",
+            "back_end={back_end} ended=true cause={cause} broken={} requests={} parts={}",
             runs.len(),
             logged_runs.join(","),
+            self.parts_text(&runs),
         );
         self.metrics.count_crash(cause);
         if self.is_leaving(back_end) {
@@ -168,6 +175,21 @@
         }
     }
 
+    /// The parts that the most interrupted runs of one back end had in their prompts, each with its
+    /// digest, the number of these runs, and whether a whole response on it is known.
+    fn parts_text(&self, runs: &[InterruptedRun]) -> String {
+        let version = runs.first().map(|run| run.version);
+        let quarantine = self.quarantine.borrow();
+        let text = |(part, count): &(SuspectPart, usize)| {
+            let is_proven = version.is_some_and(|version| quarantine.is_proven(part, version));
+            let proof = if is_proven { "proven" } else { "unproven" };
+            format!("{:x}/{}:{count}:{proof}", part.id, part.digest)
+        };
+        let counts = count_parts(runs);
+        let logged: Vec<String> = counts.iter().take(MAX_LOGGED_PARTS).map(text).collect();
+        logged.join(",")
+    }
+
     /// Called when a request's connection was refused. If runs were interrupted there whose probe
     /// was lost on its way, this shows that the back end ended.
     pub(crate) fn on_connection_refused(&self, back_end: &str, instance: InstanceId) {
--- a/crates/stacktack-direct/src/exchange.rs
+++ b/crates/stacktack-direct/src/exchange.rs
@@ -11,8 +11,9 @@
 use hyper::Response;
 use stacktack_core::configuration::selector::Requirement;
 use stacktack_core::direct::admission::contention::prediction_error::Expectation;
-use stacktack_core::direct::quarantine::digest::RequestDigest;
+use stacktack_core::direct::quarantine::digest::SuspectDigest;
 use stacktack_core::direct::quarantine::record::Treatment;
+use stacktack_core::direct::quarantine::suspects::SuspectPart;
 use stacktack_core::direct::request::attempt::{AttemptFailure, AttemptHistory};
 use stacktack_core::direct::request::run_times::RunId;
 use stacktack_core::direct::stream_versions::software_version::SoftwareVersion;
@@ -87,7 +88,9 @@
     /// When the request has to be over.
     pub(crate) deadline: Time,
     /// Digest of the request; computed when first needed.
-    pub(crate) digest: OnceCell<RequestDigest>,
+    pub(crate) digest: OnceCell<SuspectDigest>,
+    /// Parts of the prompt that may be blamed for a crash; computed when first needed.
+    pub(crate) suspect_parts: OnceCell<Rc<[SuspectPart]>>,
     pub(crate) history: AttemptHistory,
     /// Crash probe of the last attempt's back end, until it is awaited.
     pub(crate) crash_probe: Option<CrashProbeDone>,
--- a/crates/stacktack-direct/src/ports.rs
+++ b/crates/stacktack-direct/src/ports.rs
@@ -16,7 +16,7 @@
 use stacktack_core::direct::back_ends::work_time::WorkTimeFactor;
 use stacktack_core::direct::back_ends::zone_drain::ZoneDrainUpdate;
 use stacktack_core::direct::choice::prompt::PromptChain;
-use stacktack_core::direct::quarantine::digest::RequestDigest;
+use stacktack_core::direct::quarantine::digest::SuspectDigest;
 use stacktack_core::direct::quarantine::StoredVerdict;
 use stacktack_core::direct::rollout::order::RolloutOrder;
 use stacktack_core::direct::rollout::status::{StatusWrite, StatusWriteResult};
@@ -342,7 +342,7 @@
     fn change_verdicts(
         &self,
         stored: &[StoredVerdict],
-        dropped: &[RequestDigest],
+        dropped: &[SuspectDigest],
         transfer: Rc<Transfer>,
     ) -> LocalBoxFuture<'_, Result<(), SourceError>>;
 }
--- a/crates/stacktack-direct/src/quarantine.rs
+++ b/crates/stacktack-direct/src/quarantine.rs
@@ -1,18 +1,23 @@
 //! Quarantine at this router: how requests are treated under which back ends crashed.
 
+use std::rc::Rc;
+
 use bytes::Bytes;
 use hyper::http::request;
+use hyper::StatusCode;
 use stacktack_core::direct::back_ends::directory::InstanceId;
-use stacktack_core::direct::quarantine::digest::{RequestDigest, RequestIdentity};
+use stacktack_core::direct::quarantine::digest::{RequestIdentity, SuspectDigest};
 use stacktack_core::direct::quarantine::probation::select_for_probation;
 use stacktack_core::direct::quarantine::record::Treatment;
+use stacktack_core::direct::quarantine::suspects::{suspect_parts, SuspectPart};
 use stacktack_core::direct::quarantine::TreatmentChange;
+use stacktack_core::direct::stream_versions::software_version::SoftwareVersion;
 use stacktack_core::direct::traffic::route::Tenant;
 
 use crate::candidates::Candidates;
 use crate::choice::Choice;
 use crate::exchange::Exchange;
-use crate::router::Router;
+use crate::router::{pool_name, Router};
 
 /// Multiple of the mean load which, with [`WATCHED_SLACK_REQUESTS`] added, bounds the load up to
 /// which a back end gets watched requests. This stays below the load bound, with room for requests
@@ -27,11 +32,11 @@
     head: &request::Parts,
     body: &Bytes,
     tenant: Option<&Tenant>,
-) -> RequestDigest {
+) -> SuspectDigest {
     let host = head.headers.get(hyper::header::HOST);
     let host = host.and_then(|host| host.to_str().ok()).unwrap_or("");
     let target = head.uri.path_and_query();
-    RequestDigest::of(&RequestIdentity {
+    SuspectDigest::of_request(&RequestIdentity {
         caller: tenant.map_or("", |tenant| tenant.name.as_str()),
         method: head.method.as_str(),
         host: &host.to_ascii_lowercase(),
@@ -43,7 +48,7 @@
 impl Router {
     /// How a request is to be treated. Its digest is not computed while the quarantine is empty: a
     /// digest of 100 kB takes 0.08 ms.
-    pub(crate) fn treatment(&self, digest: impl FnOnce() -> RequestDigest) -> Treatment {
+    pub(crate) fn treatment(&self, digest: impl FnOnce() -> SuspectDigest) -> Treatment {
         if self.quarantine.borrow().is_empty() {
             return Treatment::Usual;
         }
@@ -91,7 +96,7 @@
     }
 
     /// Waits until a request is set aside.
-    pub(crate) async fn until_set_aside(&self, digest: RequestDigest) {
+    pub(crate) async fn until_set_aside(&self, digest: SuspectDigest) {
         let mut verdict_count = self.verdict_count.subscribe();
         while self.treatment(|| digest) != Treatment::SetAside {
             if verdict_count.changed().await.is_err() {
@@ -103,7 +108,7 @@
 
 impl Exchange {
     /// Digest that identifies the request, whatever id this try of it has.
-    pub(crate) fn digest(&self) -> RequestDigest {
+    pub(crate) fn digest(&self) -> SuspectDigest {
         *self
             .digest
             .get_or_init(|| request_digest(&self.head, self.body.bytes(), self.tenant.as_deref()))
@@ -114,9 +119,22 @@
         self.router.treatment(|| self.digest())
     }
 
-    /// A back end completed the request without crashing: the request did not cause the crashes
-    /// that are recorded against it.
-    pub(crate) fn on_successful_run(&self) {
+    /// Parts of the prompt that may be blamed for a crash.
+    pub(crate) fn suspect_parts(&self) -> Rc<[SuspectPart]> {
+        let parts = &self.suspect_parts;
+        parts
+            .get_or_init(|| suspect_parts(&self.caller.prompt, pool_name(self.pool())))
+            .clone()
+    }
+
+    /// A back end of a version completed the request, with a status, without crashing: the request
+    /// did not cause the crashes that are recorded against it.
+    pub(crate) fn on_successful_run(&self, version: &SoftwareVersion, status: StatusCode) {
+        if status.is_success() {
+            let parts = self.suspect_parts();
+            let mut quarantine = self.router.quarantine.borrow_mut();
+            quarantine.on_complete_response(&parts, version.hash());
+        }
         if self.router.quarantine.borrow().is_empty() {
             return;
         }
--- a/crates/stacktack-direct/src/response_body.rs
+++ b/crates/stacktack-direct/src/response_body.rs
@@ -13,6 +13,7 @@
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
 use hyper::http::response;
+use hyper::StatusCode;
 use stacktack_core::direct::request::attempt::AttemptFailure;
 use stacktack_core::direct::request::events::ResumePoint;
 use thiserror::Error;
@@ -120,7 +121,7 @@
     events: ResponseEvents,
     /// Whether the current attempt has sent nothing of its body.
     is_attempt_empty: bool,
-    status: u16,
+    status: StatusCode,
     deadline: LocalBoxFuture<'static, ()>,
     stall_timer: Option<Pin<Box<Sleep>>>,
     read_ahead: ReadAhead,
@@ -170,7 +171,7 @@
             events,
             is_attempt_empty: buffered.is_empty(),
             buffered,
-            status: head.status.as_u16(),
+            status: head.status,
             deadline,
             stall_timer: is_resumable.then(|| Box::pin(sleep_until(next_stall_deadline()))),
             read_ahead: ReadAhead {
@@ -433,7 +434,7 @@
     }
 
     fn complete(&mut self) -> Option<Result<Bytes, ResponseError>> {
-        let status = self.status;
+        let status = self.status.as_u16();
         self.finish(Outcome::Answered(status));
         None
     }
@@ -447,7 +448,7 @@
         {
             exchange.outcome = outcome;
             if matches!(outcome, Outcome::Answered(_)) {
-                exchange.on_successful_run();
+                exchange.on_successful_run(&attempt.version, self.status);
                 attempt.on_complete();
                 attempt.finish();
             }
--- a/crates/stacktack-direct/src/sending.rs
+++ b/crates/stacktack-direct/src/sending.rs
@@ -351,8 +351,8 @@
                         head,
                         body: body.to_bytes(),
                     };
+                    self.on_successful_run(&attempt.version, failed_response.head.status);
                     attempt.finish();
-                    self.on_successful_run();
                     AttemptOutcome::Failure(AttemptFailure::Failed, Some(failed_response))
                 }
                 Err(_) => {
--- a/crates/stacktack-direct/tests/datagrams.rs
+++ b/crates/stacktack-direct/tests/datagrams.rs
@@ -9,7 +9,7 @@
 use stacktack_core::direct::peers::peer_gossip::{PeerGossip, ShortId};
 use stacktack_core::direct::peers::source_age::{EncodedAge, SourceAges, SourceRead, SourceReads};
 use stacktack_core::direct::peers::MAX_DATAGRAM_BYTES;
-use stacktack_core::direct::quarantine::digest::{RequestDigest, RequestIdentity};
+use stacktack_core::direct::quarantine::digest::{RequestIdentity, SuspectDigest};
 use stacktack_core::direct::quarantine::record::RecordGossip;
 use stacktack_direct::datagram::{decode, encode};
 
@@ -41,7 +41,7 @@
 
 fn record(number: u8) -> RecordGossip {
     RecordGossip {
-        digest: RequestDigest::of(&RequestIdentity {
+        digest: SuspectDigest::of_request(&RequestIdentity {
             caller: "caller",
             method: "GET",
             host: "host",
--- a/crates/stacktack-direct/tests/verdicts.rs
+++ b/crates/stacktack-direct/tests/verdicts.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use stacktack_core::direct::back_ends::directory::{BackEndEntry, InstanceId};
-use stacktack_core::direct::quarantine::digest::{RequestDigest, RequestIdentity};
+use stacktack_core::direct::quarantine::digest::{RequestIdentity, SuspectDigest};
 use stacktack_core::direct::quarantine::record::Treatment;
 use stacktack_core::direct::quarantine::StoredVerdict;
 use stacktack_direct::followers::{sync_verdicts, StoreMonitor};
@@ -26,7 +26,7 @@
 struct Store {
     down: Cell<bool>,
     /// Epochs of the verdicts by request.
-    verdicts: RefCell<BTreeMap<RequestDigest, u32>>,
+    verdicts: RefCell<BTreeMap<SuspectDigest, u32>>,
     reads: Cell<u32>,
     writes: Cell<u32>,
 }
@@ -62,7 +62,7 @@
     fn change_verdicts(
         &self,
         stored: &[StoredVerdict],
-        dropped: &[RequestDigest],
+        dropped: &[SuspectDigest],
         _: Rc<Transfer>,
     ) -> LocalBoxFuture<'_, Result<(), SourceError>> {
         self.writes.set(self.writes.get() + 1);
@@ -77,8 +77,8 @@
     }
 }
 
-fn request() -> RequestDigest {
-    RequestDigest::of(&RequestIdentity {
+fn request() -> SuspectDigest {
+    SuspectDigest::of_request(&RequestIdentity {
         caller: "caller",
         method: "GET",
         host: "host",
