Blame prompt parts for crashes, and prove those that whole responses came on

What callers saw: requests of one kind crashed one engine after the other, one each 0.35 s, for as long as they came; a tenth to three quarters of the album stories failed beside them.

Cause: blame was kept for whole requests. What crashed was a part that requests share; each of them was new, so none was blamed twice. Class: blame on the single case and none on what cases have in common.

Evidence: in the record one part was among the broken runs of 8 of 10 ended engines, never answered, each time under another digest; its caller's other requests on that route were answered.

Change: a run's suspects are its request and the parts of its prompt, the last excepted, that no whole response at that software version has proven, at this router or, by gossip, at any. One record, treatment, gossip and table for both. A verdict names the companions that all crashed runs had besides and applies to requests that have all of them; one that has some runs on probation. It applies to the callers whose runs crashed, and to all once there are two. The context of parts stands behind all else in datagrams, and in optional fields of the store's rows, so that earlier releases read both. Runs that wait are withdrawn when their part is set aside, also if nothing was known when they were sent.

--- a/crates/stacktack-core/src/direct/quarantine/interrupted_runs.rs
+++ b/crates/stacktack-core/src/direct/quarantine/interrupted_runs.rs
@@ -7,12 +7,10 @@
 //! kept here; after 8 s it is dropped and does not count.
 
 use std::collections::HashMap;
-use std::rc::Rc;
 use std::time::Duration;
 
 use crate::direct::back_ends::directory::InstanceId;
-use crate::direct::quarantine::digest::SuspectDigest;
-use crate::direct::quarantine::suspects::SuspectPart;
+use crate::direct::quarantine::suspects::{SuspectPart, Suspects};
 use crate::direct::stream_versions::software_version::VersionHash;
 use crate::time::Time;
 
@@ -28,10 +26,8 @@
 /// A run that broke off or timed out before its response was complete.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct InterruptedRun {
-    /// Request that was running.
-    pub digest: SuspectDigest,
-    /// Parts of its prompt that may be blamed.
-    pub parts: Rc<[SuspectPart]>,
+    /// What may be blamed for the run.
+    pub suspects: Suspects,
     /// Software version of the back end.
     pub version: VersionHash,
     /// Id of the caller's try that the run belongs to, for logs.
@@ -92,7 +88,7 @@
 /// frequent first.
 pub fn count_parts(runs: &[InterruptedRun]) -> Vec<(SuspectPart, usize)> {
     let mut counts: Vec<(SuspectPart, usize)> = Vec::new();
-    for part in runs.iter().flat_map(|run| run.parts.iter()) {
+    for part in runs.iter().flat_map(|run| run.suspects.parts.iter()) {
         match counts.iter_mut().find(|(counted, _)| counted == part) {
             Some((_, count)) => *count += 1,
             None => counts.push((*part, 1)),
--- a/crates/stacktack-core/src/direct/quarantine/mod.rs
+++ b/crates/stacktack-core/src/direct/quarantine/mod.rs
@@ -1,28 +1,37 @@
-//! Quarantine of requests that crash the back ends which run them.
+//! Quarantine of what crashes back ends: of requests, and of prompt parts that requests share.
 //!
 //! A back end that crashes interrupts all its runs, and each router knows only its own part of
-//! them. Each router records a crash for each of its own requests that was interrupted there, and
-//! gossips it to the others. After its first crash a request runs on probation where that is
-//! possible, after the second one only on probation: at one of two back ends that its digest
-//! selects, where its router runs no other request on probation. A request under which three back
-//! ends crashed, two of them during probation, without a successful run since, is set aside: no
-//! router sends it to a back end. The store keeps this verdict for routers that start when no
-//! other router is left to tell them. One successful run clears a request.
+//! them. Each router records a crash for each suspect of its own interrupted runs, and gossips it
+//! to the others. After its first crash a suspect runs on probation where that is possible, after
+//! the second one only on probation: at one of two back ends that its digest selects, where its
+//! router runs nothing else on probation. A suspect under which three back ends crashed, two of
+//! them during probation, without a successful run since, is set aside: no router sends it to a
+//! back end. The store keeps this verdict for routers that start when no other router is left to
+//! tell them. One successful run clears a suspect.
+//!
+//! Suspects of a run are its request and those parts of its prompt that are not proven: a fatal
+//! part crashes each back end that begins a response on it, so one whole response, at any router,
+//! proves that a part is sound at that software version. Several parts may explain the same
+//! crashes. A verdict on a part therefore names its companions, the suspects that all its crashed
+//! runs had besides; it applies to requests that have all of them. A request with only some of
+//! them runs on probation, which tells them apart.
 //!
 //! Without a quarantine, a request that came every 200 ms and crashed its back end each time still
 //! reached a back end in 23 of 24 tries 3 s after the third crash (4 routers, 8 back ends); with a
 //! quarantine, in none.
 //!
-//! - [`digest`]: identity of a request across all its tries.
+//! - [`digest`]: identity of a request across all its tries, or of a prompt part.
 //! - [`interrupted_runs`]: runs that broke off or timed out, while it is not known whether their
 //!   back end crashed.
 //! - [`suspects`]: what the runs of one request may be blamed on.
 //! - [`proven_parts`]: prompt parts on which back ends generated whole responses.
-//! - [`record`]: mergeable record of the crashes under one request.
+//! - [`record`]: mergeable record of the crashes under one suspect.
+//! - [`part_context`]: what distinguishes a fatal part from its companions.
 //! - [`probation`]: choice of the back end for a request on probation.
 
 pub mod digest;
 pub mod interrupted_runs;
+pub mod part_context;
 pub mod probation;
 pub mod proven_parts;
 pub mod record;
@@ -33,9 +42,10 @@
 
 use crate::direct::back_ends::directory::InstanceId;
 use crate::direct::quarantine::digest::SuspectDigest;
+use crate::direct::quarantine::part_context::PartContext;
 use crate::direct::quarantine::proven_parts::ProvenParts;
 use crate::direct::quarantine::record::{Record, RecordGossip, Treatment};
-use crate::direct::quarantine::suspects::SuspectPart;
+use crate::direct::quarantine::suspects::{SuspectPart, Suspects};
 use crate::direct::stream_versions::software_version::VersionHash;
 use crate::time::Time;
 
@@ -69,65 +79,89 @@
 /// is uniformly distributed up to this.
 const MAX_STORE_DELAY: Duration = Duration::from_secs(3);
 
-/// A verdict, that a request is set aside, as the store keeps it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+/// A verdict, that a suspect is set aside, as the store keeps it.
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StoredVerdict {
-    /// Request that is set aside.
+    /// Suspect that is set aside.
     pub digest: SuspectDigest,
-    /// Epoch of the request's record that the verdict belongs to.
+    /// Epoch of the suspect's record that the verdict belongs to.
     pub epoch: u32,
+    /// Circumstances of the crashes, if the suspect is a prompt part.
+    pub part: Option<PartContext>,
+}
+
+/// How a request is to be treated, and why.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Assessment {
+    /// Treatment of the request.
+    pub treatment: Treatment,
+    /// Suspect that decides the treatment, and selects the back ends of a probation; `None` if
+    /// nothing speaks against the request.
+    pub suspect: Option<SuspectDigest>,
+}
+
+impl Assessment {
+    /// Nothing speaks against the request.
+    pub const USUAL: Assessment = Assessment {
+        treatment: Treatment::Usual,
+        suspect: None,
+    };
 }
 
-/// A change in the treatment of a request.
+/// A change in the treatment of a suspect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TreatmentChange {
-    /// Request whose treatment changed.
+    /// Suspect whose treatment changed.
     pub digest: SuspectDigest,
+    /// Whether the suspect is known to be a prompt part.
+    pub is_part: bool,
     /// Treatment before the change.
     pub before: Treatment,
     /// Treatment from now on.
     pub after: Treatment,
-    /// Number of known instances that crashed while they ran the request.
+    /// Number of known instances that crashed while they ran the suspect.
     pub crashes: usize,
-    /// Number of these instances that crashed while the request was on probation.
+    /// Number of these instances that crashed while the suspect was on probation.
     pub probation_crashes: usize,
 }
 
-/// A router's records of requests that crash back ends.
+/// A router's records of what crashes back ends.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
     records: HashMap<SuspectDigest, Record>,
     proven_parts: ProvenParts,
-    /// Requests whose verdict the store may still hold although they were cleared.
+    /// Suspects whose verdict the store may still hold although they were cleared.
     outdated: BTreeSet<SuspectDigest>,
+    /// Number of changes of verdicts so far.
+    verdict_changes: u64,
     /// Position of the next older verdict to gossip, modulo their number.
     next_old_verdict: usize,
 }
 
 impl Quarantine {
-    /// Whether there is no record of any request, cleared ones included.
+    /// Whether there is no record of any suspect, cleared ones included.
     pub fn is_empty(&self) -> bool {
         self.records.is_empty()
     }
 
-    /// Number of requests that are set aside.
-    pub fn set_aside_count(&self) -> usize {
-        self.count(Treatment::SetAside)
+    /// Number of suspects with a treatment, either of prompt parts or of all others.
+    pub fn count(&self, treatment: Treatment, is_part: bool) -> usize {
+        let records = self.records.values();
+        records
+            .filter(|record| record.treatment() == treatment && record.part.is_some() == is_part)
+            .count()
     }
 
-    /// Number of requests that run only on probation.
-    pub fn on_probation_count(&self) -> usize {
-        self.count(Treatment::Probation)
+    fn set_aside_count(&self) -> usize {
+        self.count(Treatment::SetAside, true) + self.count(Treatment::SetAside, false)
     }
 
-    fn count(&self, treatment: Treatment) -> usize {
-        let records = self.records.values();
-        records
-            .filter(|record| record.treatment() == treatment)
-            .count()
+    /// Number of changes of verdicts so far: suspects set aside or cleared, and companions ruled out.
+    pub fn verdict_changes(&self) -> u64 {
+        self.verdict_changes
     }
 
-    /// Treatment of a request that arrived at `now`. Notes that its record was used.
+    /// Treatment of a suspect at `now`. Notes that its record was used.
     pub fn treatment(&mut self, digest: SuspectDigest, now: Time) -> Treatment {
         let Some(record) = self.records.get_mut(&digest) else {
             return Treatment::Usual;
@@ -136,29 +170,117 @@
         record.treatment()
     }
 
-    /// Records that a back end instance crashed while it ran a request.
+    /// How a request with these suspects is to be treated at `now`: as the worst of them. Among
+    /// equals, a part decides before the request, since the same back ends then try all requests
+    /// with the part.
+    pub fn assess(&mut self, suspects: &Suspects, now: Time) -> Assessment {
+        let mut worst = (Treatment::Usual, 0, false, None);
+        for digest in suspects.digests() {
+            let mut treatment = self.treatment(digest, now);
+            if treatment == Treatment::Usual {
+                continue;
+            }
+            if treatment == Treatment::SetAside && !self.applies(digest, suspects) {
+                treatment = Treatment::Probation;
+            }
+            let crashes = self.records.get(&digest).map_or(0, Record::crashes);
+            let is_part = suspects.request != Some(digest);
+            worst = worst.max((treatment, crashes, is_part, Some(digest)));
+        }
+        let (treatment, _, _, suspect) = worst;
+        Assessment { treatment, suspect }
+    }
+
+    /// Whether the verdict on a suspect applies to a request: it concerns the caller, and the request
+    /// has all companions of the suspect that were not cleared since.
+    fn applies(&self, digest: SuspectDigest, suspects: &Suspects) -> bool {
+        let part = self
+            .records
+            .get(&digest)
+            .and_then(|record| record.part.as_ref());
+        let Some(part) = part else {
+            return true;
+        };
+        let is_cleared = |companion: SuspectDigest| {
+            let record = self.records.get(&companion);
+            !record.is_some_and(Record::is_implicated)
+        };
+        let mut companions = part.companions().iter();
+        part.concerns(suspects.caller)
+            && companions.all(|companion| {
+                is_cleared(*companion) || suspects.digests().any(|digest| digest == *companion)
+            })
+    }
+
+    /// Records that a back end instance of a version crashed while it ran a request with these
+    /// suspects. Proven parts are not blamed.
     pub fn on_crash(
+        &mut self,
+        suspects: &Suspects,
+        instance: InstanceId,
+        version: VersionHash,
+        on_probation: bool,
+        now: Time,
+    ) -> Vec<TreatmentChange> {
+        let unproven: Vec<SuspectDigest> = suspects
+            .digests()
+            .filter(|digest| !self.proven_parts.is_proven(*digest, version))
+            .collect();
+        let mut changes = Vec::new();
+        for digest in &unproven {
+            let companions = || unproven.iter().copied().filter(|other| other != digest);
+            let part = (suspects.request != Some(*digest))
+                .then(|| PartContext::of_crash(suspects.caller, companions().collect(), version));
+            changes.extend(self.blame(*digest, part, instance, on_probation, now));
+        }
+        changes
+    }
+
+    fn blame(
         &mut self,
         digest: SuspectDigest,
+        part: Option<PartContext>,
         instance: InstanceId,
         on_probation: bool,
         now: Time,
     ) -> Option<TreatmentChange> {
         self.make_room(now);
+        let mut has_new_context = false;
         let change = self.update(digest, |record| {
-            record.add_crash(instance, on_probation, now)
-        })?;
-        if change.after == Treatment::SetAside {
-            self.schedule_write(digest, now);
+            has_new_context = part.is_some_and(|part| record.merge_part(&part, now));
+            record.add_crash(instance, on_probation, now);
+        });
+        if let Some(record) = self.records.get_mut(&digest) {
+            if has_new_context {
+                record.stored_since = None;
+            }
+            if record.treatment() == Treatment::SetAside && (change.is_some() || has_new_context) {
+                self.schedule_write(digest, now);
+            }
         }
-        Some(change)
+        change
     }
 
-    /// Records that a back end of a version generated a whole response on these parts.
-    pub fn on_complete_response(&mut self, parts: &[SuspectPart], version: VersionHash) {
+    /// Records that a back end of a version generated a whole response on these parts, and clears
+    /// those that are blamed for crashes at that version.
+    pub fn on_complete_response(
+        &mut self,
+        parts: &[SuspectPart],
+        version: VersionHash,
+        now: Time,
+    ) -> Vec<TreatmentChange> {
         for part in parts {
             self.proven_parts.record(part.digest, version);
         }
+        let is_disproved = |part: &&SuspectPart| {
+            let record = self.records.get(&part.digest);
+            record.is_some_and(|record| record.is_implicated() && record.may_be_at(version))
+        };
+        let disproved: Vec<SuspectPart> = parts.iter().filter(is_disproved).copied().collect();
+        let cleared = disproved.iter();
+        cleared
+            .filter_map(|part| self.clear(part.digest, now))
+            .collect()
     }
 
     /// Whether a whole response on a part is known, from a back end of a version.
@@ -180,6 +302,8 @@
     }
 
     fn clear(&mut self, digest: SuspectDigest, now: Time) -> Option<TreatmentChange> {
+        // Verdicts on companions of the suspect apply to more requests from now on.
+        self.verdict_changes += 1;
         let change = self.update(digest, |record| record.clear(now))?;
         if change.before == Treatment::SetAside {
             self.outdated.insert(digest);
@@ -199,7 +323,18 @@
         let mut changes = Vec::new();
         for gossip in records {
             self.make_room(now);
-            let change = self.update(gossip.digest, |record| record.merge(gossip, now));
+            let proven_at = self.proven_parts.version(gossip.digest);
+            let mut is_disproved = false;
+            let change = self.update(gossip.digest, |record| {
+                record.merge(gossip, now);
+                is_disproved = record.is_implicated() && record.is_at(proven_at);
+                if is_disproved {
+                    record.clear(now);
+                }
+            });
+            if is_disproved && gossip.set_aside {
+                self.outdated.insert(gossip.digest);
+            }
             if let Some(change) = change {
                 if change.after == Treatment::SetAside {
                     self.schedule_write(gossip.digest, now + MAX_STORE_DELAY.mul_f64(draw));
@@ -218,10 +353,16 @@
     ) -> Option<TreatmentChange> {
         let record = self.records.entry(digest).or_default();
         let before = record.treatment();
+        let companions_before = record.companions();
         apply(record);
         let after = record.treatment();
+        let is_verdict = before.max(after) == Treatment::SetAside;
+        if is_verdict && (before != after || record.companions() != companions_before) {
+            self.verdict_changes += 1;
+        }
         (after != before).then_some(TreatmentChange {
             digest,
+            is_part: record.part.is_some(),
             before,
             after,
             crashes: record.crashes(),
@@ -268,8 +409,9 @@
         let mut recent: Vec<_> = self.records.iter().collect();
         recent
             .retain(|(_, record)| is_selected(record) && now.since(record.last_changed) < max_age);
+        // A crash blames dozens of requests, but few parts.
         recent.sort_unstable_by_key(|(digest, record)| {
-            std::cmp::Reverse((record.last_changed, **digest))
+            std::cmp::Reverse((record.part.is_some(), record.last_changed, **digest))
         });
         let latest = recent.into_iter().take(limit);
         latest
@@ -304,6 +446,7 @@
             .map(|(digest, record)| StoredVerdict {
                 digest: *digest,
                 epoch: record.epoch,
+                part: record.part.clone(),
             })
             .collect()
     }
@@ -351,6 +494,9 @@
                 is_outdated = record.epoch > verdict.epoch;
                 if !is_outdated {
                     record.epoch = verdict.epoch;
+                    if let Some(part) = &verdict.part {
+                        record.merge_part(part, now);
+                    }
                     record.set_aside(now);
                     record.stored_since = record.stored_since.or(Some(now));
                     record.store_due = None;
--- a/crates/stacktack-core/src/direct/quarantine/record.rs
+++ b/crates/stacktack-core/src/direct/quarantine/record.rs
@@ -1,4 +1,4 @@
-//! Mergeable record of the crashes under one request.
+//! Mergeable record of the crashes under one suspect: a request or a prompt part.
 //!
 //! Crashes are kept as a set of back end instances, not as a count: a crash that two routers saw
 //! counts once, however often and in whichever order records are gossiped. A successful run starts
@@ -10,6 +10,8 @@
 
 use crate::direct::back_ends::directory::InstanceId;
 use crate::direct::quarantine::digest::SuspectDigest;
+use crate::direct::quarantine::part_context::PartContext;
+use crate::direct::stream_versions::software_version::VersionHash;
 use crate::time::Time;
 
 /// Number of crashes from which a request runs only on probation. One crash says little, since it
@@ -65,9 +67,9 @@
 /// A record as routers gossip it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RecordGossip {
-    /// Request that the record is about.
+    /// Suspect that the record is about.
     pub digest: SuspectDigest,
-    /// Number of times that the request was cleared.
+    /// Number of times that the suspect was cleared.
     pub epoch: u32,
     /// Instances that crashed under the request in this epoch; empty once it is set aside.
     pub crashes: Vec<InstanceId>,
@@ -77,12 +79,18 @@
     pub set_aside: bool,
     /// Whether the store holds the verdict.
     pub stored: bool,
+    /// Circumstances of the crashes, if the suspect is a prompt part. Datagrams carry it behind all
+    /// records, where earlier releases leave it unread.
+    #[serde(skip)]
+    pub part: Option<PartContext>,
 }
 
-/// Crashes under one request and the verdict on it.
+/// Crashes under one suspect and the verdict on it.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Record {
     pub epoch: u32,
+    /// Circumstances of the crashes, if the suspect is known to be a prompt part.
+    pub part: Option<PartContext>,
     crashes: Vec<InstanceId>,
     probation_crashes: Vec<InstanceId>,
     set_aside: bool,
@@ -118,6 +126,25 @@
         self.was_high_priority || self.treatment() > Treatment::Watched
     }
 
+    /// Number of companions that a request must have for the verdict to apply.
+    pub fn companions(&self) -> usize {
+        let part = self.part.as_ref();
+        part.map_or(0, |part| part.companions().len())
+    }
+
+    /// Whether the crashes are known to have been at a software version.
+    pub fn is_at(&self, version: Option<VersionHash>) -> bool {
+        let part = self.part.as_ref();
+        version.is_some() && part.and_then(PartContext::version) == version
+    }
+
+    /// Whether the crashes may have been at a software version.
+    pub fn may_be_at(&self, version: VersionHash) -> bool {
+        let part = self.part.as_ref();
+        let known = part.and_then(PartContext::version);
+        known.is_none_or(|known| known == version)
+    }
+
     pub fn crashes(&self) -> usize {
         self.crashes.len()
     }
@@ -144,6 +171,21 @@
         }
     }
 
+    /// Merges the circumstances of crashes under a prompt part; returns whether they changed.
+    pub fn merge_part(&mut self, part: &PartContext, now: Time) -> bool {
+        let changed = match &mut self.part {
+            Some(known) => known.merge(part),
+            None => {
+                self.part = Some(part.clone());
+                true
+            }
+        };
+        if changed {
+            self.last_changed = now;
+        }
+        changed
+    }
+
     /// Sets the request aside once there are enough crashes.
     fn update_verdict(&mut self) {
         let has_enough_crashes = self.crashes.len() >= MIN_CRASHES_FOR_VERDICT
@@ -160,10 +202,11 @@
         }
     }
 
-    /// Clears the request: starts a new epoch without crashes or verdict.
+    /// Clears the suspect: starts a new epoch without crashes or verdict.
     pub fn clear(&mut self, now: Time) {
         *self = Record {
             epoch: self.epoch + 1,
+            part: self.part.as_ref().map(|_| PartContext::default()),
             was_high_priority: self.is_high_priority(),
             last_changed: now,
             last_used: now,
@@ -180,10 +223,14 @@
         if changed {
             *self = Record {
                 epoch: gossip.epoch,
+                part: self.part.as_ref().map(|_| PartContext::default()),
                 was_high_priority: self.is_high_priority(),
                 ..Record::default()
             };
         }
+        if let Some(part) = &gossip.part {
+            changed |= self.merge_part(part, now);
+        }
         for instance in gossip.crashes.iter().take(MAX_INSTANCES) {
             changed |= insert_instance(&mut self.crashes, *instance);
         }
@@ -215,6 +262,7 @@
             probation_crashes: gossiped(&self.probation_crashes),
             set_aside: self.set_aside,
             stored: self.stored_since.is_some(),
+            part: self.part.clone(),
         }
     }
 
--- a/crates/stacktack-core/src/direct/quarantine/suspects.rs
+++ b/crates/stacktack-core/src/direct/quarantine/suspects.rs
@@ -1,7 +1,11 @@
-//! What the runs of one request may be blamed on when their back ends crash.
+//! What the runs of one request may be blamed on when their back ends crash: the request itself,
+//! and what it has in common with others, the parts of its prompt.
 
 use std::rc::Rc;
 
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
 use crate::direct::choice::prompt::PromptChain;
 use crate::direct::quarantine::digest::SuspectDigest;
 
@@ -9,6 +13,19 @@
 /// a request head.
 const MAX_PARTS: usize = 16;
 
+/// Short form of a caller's name.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct CallerHash(u32);
+
+impl CallerHash {
+    /// Hash of a tenant's name; of an empty one if the route requires no key.
+    pub fn of(caller: &str) -> Self {
+        CallerHash(xxh3_64(caller.as_bytes()) as u32)
+    }
+}
+
 /// A prompt part that may crash the back ends which generate on it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SuspectPart {
@@ -18,6 +35,25 @@
     pub digest: SuspectDigest,
 }
 
+/// Everything that the runs of one request may be blamed on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Suspects {
+    /// The request; `None` if only its prompt is considered.
+    pub request: Option<SuspectDigest>,
+    /// Parts of its prompt.
+    pub parts: Rc<[SuspectPart]>,
+    /// Who sent the request.
+    pub caller: CallerHash,
+}
+
+impl Suspects {
+    /// Digests of the request and of the parts.
+    pub fn digests(&self) -> impl Iterator<Item = SuspectDigest> + '_ {
+        let parts = self.parts.iter().map(|part| part.digest);
+        self.request.into_iter().chain(parts)
+    }
+}
+
 /// The distinct parts of a prompt that may be blamed: all but the last one, which no other request
 /// has.
 pub fn suspect_parts(prompt: &PromptChain, pool: &str) -> Rc<[SuspectPart]> {
--- a/crates/stacktack-core/src/direct/stream_versions/software_version.rs
+++ b/crates/stacktack-core/src/direct/stream_versions/software_version.rs
@@ -18,7 +18,7 @@
 
 /// Short form of a version on the wire. Two of 20 versions share one with a probability of 1 in
 /// 80,000.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct VersionHash([u8; 3]);
 
 impl SoftwareVersion {
--- a/crates/stacktack-direct/src/admission.rs
+++ b/crates/stacktack-direct/src/admission.rs
@@ -9,7 +9,9 @@
 use hyper::http::request;
 use hyper::{Request, Response};
 use rand::Rng;
+use stacktack_core::direct::quarantine;
 use stacktack_core::direct::quarantine::record::Treatment;
+use stacktack_core::direct::quarantine::suspects::Suspects;
 use stacktack_core::direct::request::attempt::AttemptHistory;
 use stacktack_core::direct::traffic::route::{Route, Tenant, TrafficConfiguration};
 use stacktack_core::time::Time;
@@ -19,11 +21,11 @@
 use crate::exchange::{Exchange, Outcome};
 use crate::memory::ResponseAccount;
 use crate::ports::{CallerRequest, RefusalKind};
-use crate::quarantine::request_digest;
+use crate::quarantine::{caller_hash, request_digest};
 use crate::request_body::RequestBody;
 use crate::respond::{refuse_early, respond};
 use crate::response_body::ResponseBody;
-use crate::router::{Phase, Router};
+use crate::router::{pool_name, Phase, Router};
 
 /// Part of a route's latency objective for which a caller is not read while memory is short. After
 /// more, another router could not respond in time either.
@@ -126,20 +128,27 @@
     if !router.may_admit(&id_text, &route, deadline) {
         return Err(refused(RefusalKind::Stopping));
     }
+    let target = route.draw_target(rand::rng().next_u32());
+    let pool = &route.targets[target].back_ends;
     let digest = OnceCell::new();
-    let treatment = router.treatment(|| {
-        *digest.get_or_init(|| request_digest(&head, body.bytes(), tenant.as_deref()))
+    let suspect_parts = OnceCell::new();
+    let assessment = router.assess(|| Suspects {
+        request: Some(
+            *digest.get_or_init(|| request_digest(&head, body.bytes(), tenant.as_deref())),
+        ),
+        parts: suspect_parts
+            .get_or_init(|| quarantine::suspects::suspect_parts(&caller.prompt, pool_name(pool)))
+            .clone(),
+        caller: caller_hash(tenant.as_deref()),
     });
-    if treatment == Treatment::SetAside {
-        if let Some(digest) = digest.get() {
-            log::info!(target: "quarantine", "id={id_text} request={digest} refused=true");
-        }
+    let treatment = assessment.treatment;
+    if let (Treatment::SetAside, Some(suspect)) = (treatment, assessment.suspect) {
+        log::info!(target: "quarantine", "id={id_text} suspect={suspect} refused=true");
         return Err(refused(RefusalKind::SetAside));
     }
-    let target = route.draw_target(rand::rng().next_u32());
     if treatment < Treatment::Probation {
         // A request on probation gets no retries and earns none.
-        router.count_request(&route.targets[target].back_ends);
+        router.count_request(pool);
     }
     router
         .requests_in_flight
@@ -163,7 +172,7 @@
         admitted_after_deregistration,
         deadline,
         digest,
-        suspect_parts: OnceCell::new(),
+        suspect_parts,
         crash_probe: None,
         history: AttemptHistory::default(),
         attempt_in_flight: false,
--- a/crates/stacktack-direct/src/crash_detection.rs
+++ b/crates/stacktack-direct/src/crash_detection.rs
@@ -71,8 +71,7 @@
             return None;
         }
         let run = InterruptedRun {
-            digest: self.digest(),
-            parts: self.suspect_parts(),
+            suspects: self.suspects(),
             version: attempt.version.hash(),
             try_id: self.id.clone(),
             on_probation: attempt.on_probation,
@@ -153,7 +152,10 @@
         let logged_runs: Vec<String> = runs
             .iter()
             .take(MAX_LOGGED_RUNS)
-            .map(|run| format!("{}:{}", run.try_id, run.digest))
+            .map(|run| {
+                let digest = run.suspects.request.map(|digest| digest.to_string());
+                format!("{}:{}", run.try_id, digest.unwrap_or_default())
+            })
             .collect();
         log::info!(
             target: "ended",
@@ -167,12 +169,16 @@
             // A planned end is not caused by a request.
             return;
         }
+        let mut changes = Vec::new();
+        let mut quarantine = self.quarantine.borrow_mut();
         for run in runs {
-            let mut quarantine = self.quarantine.borrow_mut();
-            let change = quarantine.on_crash(run.digest, instance, run.on_probation, now);
-            drop(quarantine);
-            self.on_treatment_change(change, "own");
+            let on_probation = run.on_probation;
+            let blamed =
+                quarantine.on_crash(&run.suspects, instance, run.version, on_probation, now);
+            changes.extend(blamed);
         }
+        drop(quarantine);
+        self.on_treatment_changes(&changes, "own");
     }
 
     /// The parts that the most interrupted runs of one back end had in their prompts, each with its
--- a/crates/stacktack-direct/src/datagram.rs
+++ b/crates/stacktack-direct/src/datagram.rs
@@ -2,13 +2,14 @@
 //!
 //! A datagram consists of gossip, quarantine records, the ages of the sender's knowledge of its
 //! sources, the latest answers of the sources and, if there are any, roll-outs, backlogs of back
-//! ends and the work that tenants ask for. Routers of a release that does not know a later part
+//! ends, the work that tenants ask for and the circumstances of crashes under prompt parts. Routers of a release that does not know a later part
 //! leave it unread and do not send it.
 
 use serde::Deserialize;
 use stacktack_core::direct::peers::peer_gossip::PeerGossip;
 use stacktack_core::direct::peers::source_age::{SourceAges, SourceReads};
 use stacktack_core::direct::peers::MAX_DATAGRAM_BYTES;
+use stacktack_core::direct::quarantine::part_context::PartContext;
 use stacktack_core::direct::quarantine::record::RecordGossip;
 use stacktack_core::direct::rollout::gossip::RolloutGossip;
 use stacktack_core::direct::work::gossip::{BacklogGossip, TenantWorkGossip};
@@ -76,18 +77,12 @@
     reads: &SourceReads,
     rollouts: &[RolloutGossip],
 ) -> Result<Vec<u8>, postcard::Error> {
-    let bytes = encode(gossip, records, ages, reads)?;
-    // The parts are read in order, so roll-outs can follow only if the other parts are present.
-    if rollouts.is_empty() || bytes.len() == postcard::to_allocvec(gossip)?.len() {
-        return Ok(bytes);
-    }
-    let free_bytes = MAX_DATAGRAM_BYTES.saturating_sub(bytes.len());
-    let part = encode_rollouts(rollouts.to_vec(), free_bytes.min(MAX_ROLLOUT_BYTES))?;
-    Ok([bytes, part].concat())
+    let no_work = WorkGossip::default();
+    encode_with_work(gossip, records, ages, reads, rollouts, &no_work)
 }
 
-/// Encodes a datagram and appends roll-outs and work, if there are any. Work is left out if it does
-/// not fit whole.
+/// Encodes a datagram and appends roll-outs, work and the circumstances of crashes under prompt
+/// parts, if there are any. Work and circumstances are each left out if they do not fit whole.
 pub fn encode_with_work(
     gossip: &PeerGossip,
     records: &[RecordGossip],
@@ -96,26 +91,73 @@
     rollouts: &[RolloutGossip],
     work: &WorkGossip,
 ) -> Result<Vec<u8>, postcard::Error> {
-    let bytes = encode_with_rollouts(gossip, records, ages, reads, rollouts)?;
-    if work.is_empty() {
-        return Ok(bytes);
-    }
-    let without_rollouts = encode(gossip, records, ages, reads)?;
-    if without_rollouts.len() == postcard::to_allocvec(gossip)?.len() {
-        return Ok(bytes);
+    let mut datagram = OptionalParts::new(encode(gossip, records, ages, reads)?);
+    if datagram.bytes.len() == postcard::to_allocvec(gossip)?.len() {
+        // Parts are read in order, so none can follow where the records were left out.
+        return Ok(datagram.bytes);
     }
-    let has_rollouts = bytes.len() > without_rollouts.len();
-    let no_rollouts = postcard::to_allocvec(&Vec::<RolloutGossip>::new())?;
-    let rollouts_part = if has_rollouts {
-        Vec::new()
-    } else {
-        no_rollouts
+    let rollouts = match rollouts {
+        [] => Vec::new(),
+        rollouts => {
+            let max_bytes = datagram.free_bytes().min(MAX_ROLLOUT_BYTES);
+            encode_rollouts(rollouts.to_vec(), max_bytes)?
+        }
+    };
+    datagram.append(&rollouts, &EMPTY_LIST);
+    let work = match work.is_empty() {
+        true => Vec::new(),
+        false => postcard::to_allocvec(&(&work.backlogs, &work.tenants))?,
+    };
+    datagram.append(&work, &[EMPTY_LIST, EMPTY_LIST].concat());
+    let contexts = part_contexts(records);
+    let contexts = match contexts.is_empty() {
+        true => Vec::new(),
+        false => postcard::to_allocvec(&contexts)?,
     };
-    let work = postcard::to_allocvec(&(&work.backlogs, &work.tenants))?;
-    if bytes.len() + rollouts_part.len() + work.len() > MAX_DATAGRAM_BYTES {
-        return Ok(bytes);
+    datagram.append(&contexts, &EMPTY_LIST);
+    Ok(datagram.bytes)
+}
+
+/// Encoding of an empty list.
+const EMPTY_LIST: [u8; 1] = [0];
+
+/// Appends parts to a datagram that a receiver reads in order. A part that is absent is encoded
+/// only if another one follows it.
+struct OptionalParts {
+    bytes: Vec<u8>,
+    /// Encoding of the absent parts since the last one that is present.
+    absent: Vec<u8>,
+}
+
+impl OptionalParts {
+    fn new(bytes: Vec<u8>) -> Self {
+        OptionalParts {
+            bytes,
+            absent: Vec::new(),
+        }
+    }
+
+    fn free_bytes(&self) -> usize {
+        MAX_DATAGRAM_BYTES.saturating_sub(self.bytes.len() + self.absent.len())
+    }
+
+    /// Appends a part, or notes that it is absent if it is empty or does not fit.
+    fn append(&mut self, part: &[u8], absent: &[u8]) {
+        if part.is_empty() || part.len() > self.free_bytes() {
+            self.absent.extend_from_slice(absent);
+        } else {
+            self.bytes.append(&mut self.absent);
+            self.bytes.extend_from_slice(part);
+        }
     }
-    Ok([bytes, rollouts_part, work].concat())
+}
+
+/// Circumstances of the crashes under prompt parts, each with the index of its record.
+fn part_contexts(records: &[RecordGossip]) -> Vec<(u8, &PartContext)> {
+    let indexed = records.iter().zip(0..=u8::MAX);
+    indexed
+        .filter_map(|(record, index)| Some((index, record.part.as_ref()?)))
+        .collect()
 }
 
 /// Encodes roll-outs in at most `max_bytes`: response counts of routers are left out first, then
@@ -142,12 +184,18 @@
 /// Decodes a datagram.
 pub fn decode(bytes: &[u8]) -> Result<Datagram, postcard::Error> {
     let (gossip, rest) = postcard::take_from_bytes::<PeerGossip>(bytes)?;
-    let (records, rest) = decode_optional_part::<Vec<RecordGossip>>(rest)?;
+    let (mut records, rest) = decode_optional_part::<Vec<RecordGossip>>(rest)?;
     let (ages, rest) = decode_optional_part::<SourceAges>(rest)?;
     let (reads, rest) = decode_optional_part::<SourceReads>(rest)?;
     let (rollouts, rest) = decode_optional_part::<Vec<RolloutGossip>>(rest)?;
     let (backlogs, rest) = decode_optional_part::<Vec<BacklogGossip>>(rest)?;
-    let (tenants, _) = decode_optional_part::<Vec<TenantWorkGossip>>(rest)?;
+    let (tenants, rest) = decode_optional_part::<Vec<TenantWorkGossip>>(rest)?;
+    let (contexts, _) = decode_optional_part::<Vec<(u8, PartContext)>>(rest)?;
+    for (index, context) in contexts {
+        if let Some(record) = records.get_mut(usize::from(index)) {
+            record.part = Some(context);
+        }
+    }
     Ok(Datagram {
         gossip,
         records,
--- a/crates/stacktack-direct/src/exchange.rs
+++ b/crates/stacktack-direct/src/exchange.rs
@@ -218,17 +218,15 @@
     }
 
     /// Resolves when the request is set aside, so that a run that waits in a back end's queue is
-    /// cancelled before it starts. Checks nothing while the quarantine has no record of any
-    /// request.
+    /// cancelled before it starts. Considers only its prompt if the quarantine has no record yet:
+    /// the request itself cannot be set aside before it was tried again.
     fn until_set_aside(&self) -> impl Future<Output = ()> {
-        let is_empty = self.router.quarantine.borrow().is_empty();
-        let watched = (!is_empty).then(|| (self.router.clone(), self.digest()));
-        async move {
-            match watched {
-                Some((router, digest)) => router.until_set_aside(digest).await,
-                None => std::future::pending().await,
-            }
-        }
+        let suspects = match self.router.quarantine.borrow().is_empty() {
+            true => self.prompt_suspects(),
+            false => self.suspects(),
+        };
+        let router = self.router.clone();
+        async move { router.until_set_aside(suspects).await }
     }
 
     /// Makes attempts until one gets a response; else returns the last failed response.
--- a/crates/stacktack-direct/src/followers/verdicts.rs
+++ b/crates/stacktack-direct/src/followers/verdicts.rs
@@ -154,9 +154,7 @@
             changes.len(),
             transfer.elapsed().as_millis(),
         );
-        for change in changes {
-            self.router.on_treatment_change(Some(change), "store");
-        }
+        self.router.on_treatment_changes(&changes, "store");
         self.last_read = started_at;
         self.failed_reads = 0;
         self.read_due = now + self.until_next_read();
--- a/crates/stacktack-direct/src/gossip.rs
+++ b/crates/stacktack-direct/src/gossip.rs
@@ -116,9 +116,7 @@
     let now = router.now();
     let draw = rand::rng().random();
     let changes = router.quarantine.borrow_mut().merge(records, draw, now);
-    for change in changes {
-        router.on_treatment_change(Some(change), "peer");
-    }
+    router.on_treatment_changes(&changes, "peer");
 }
 
 /// Merges the work that a peer tells.
--- a/crates/stacktack-direct/src/metrics.rs
+++ b/crates/stacktack-direct/src/metrics.rs
@@ -3,6 +3,8 @@
 use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter};
 use opentelemetry::KeyValue;
 use stacktack_core::direct::back_ends::announcement::Announcement;
+use stacktack_core::direct::quarantine::record::Treatment;
+use stacktack_core::direct::quarantine::Quarantine;
 use stacktack_core::direct::work::backlog::BacklogEstimate;
 
 /// Metric instruments of one process.
@@ -132,7 +134,7 @@
                 .build(),
             quarantine: meter
                 .u64_gauge("stacktack_quarantine")
-                .with_description("Requests under which back ends ended, by how they are treated")
+                .with_description("Requests and prompt parts under which back ends ended, by how they are treated")
                 .build(),
             first_byte: histogram("stacktack_first_byte", "Time to the head of the answer"),
             complete_response: histogram("stacktack_whole_answer", "Time to the end of the answer"),
@@ -252,12 +254,17 @@
         self.unreadable_work_times.add(1, &[]);
     }
 
-    /// Records the number of requests on probation and of those set aside.
-    pub fn record_quarantine(&self, on_probation: usize, set_aside: usize) {
-        let counts = [("probation", on_probation), ("set_aside", set_aside)];
-        for (treatment, count) in counts {
-            let label = KeyValue::new("treatment", treatment);
-            self.quarantine.record(count as u64, &[label]);
+    /// Records the numbers of requests and of prompt parts that are on probation or set aside.
+    pub fn record_quarantine(&self, quarantine: &Quarantine) {
+        for (suspect, is_part) in [("request", false), ("part", true)] {
+            for treatment in [Treatment::Probation, Treatment::SetAside] {
+                let labels = [
+                    KeyValue::new("treatment", treatment.as_str()),
+                    KeyValue::new("suspect", suspect),
+                ];
+                let count = quarantine.count(treatment, is_part);
+                self.quarantine.record(count as u64, &labels);
+            }
         }
     }
 
--- a/crates/stacktack-direct/src/quarantine.rs
+++ b/crates/stacktack-direct/src/quarantine.rs
@@ -1,6 +1,5 @@
-//! Quarantine at this router: how requests are treated under which back ends crashed.
-
-use std::rc::Rc;
+//! Quarantine at this router: how requests are treated that back ends crashed under, or whose parts
+//! they crashed under.
 
 use bytes::Bytes;
 use hyper::http::request;
@@ -9,8 +8,8 @@
 use stacktack_core::direct::quarantine::digest::{RequestIdentity, SuspectDigest};
 use stacktack_core::direct::quarantine::probation::select_for_probation;
 use stacktack_core::direct::quarantine::record::Treatment;
-use stacktack_core::direct::quarantine::suspects::{suspect_parts, SuspectPart};
-use stacktack_core::direct::quarantine::TreatmentChange;
+use stacktack_core::direct::quarantine::suspects::{suspect_parts, CallerHash, Suspects};
+use stacktack_core::direct::quarantine::{Assessment, TreatmentChange};
 use stacktack_core::direct::stream_versions::software_version::SoftwareVersion;
 use stacktack_core::direct::traffic::route::Tenant;
 
@@ -45,28 +44,38 @@
     })
 }
 
+/// Short form of the caller's name.
+pub(crate) fn caller_hash(tenant: Option<&Tenant>) -> CallerHash {
+    CallerHash::of(tenant.map_or("", |tenant| tenant.name.as_str()))
+}
+
 impl Router {
-    /// How a request is to be treated. Its digest is not computed while the quarantine is empty: a
-    /// digest of 100 kB takes 0.08 ms.
-    pub(crate) fn treatment(&self, digest: impl FnOnce() -> SuspectDigest) -> Treatment {
+    /// How a request is to be treated. Its suspects are not computed while the quarantine is empty:
+    /// the digest of a request of 100 kB takes 0.08 ms.
+    pub(crate) fn assess(&self, suspects: impl FnOnce() -> Suspects) -> Assessment {
         if self.quarantine.borrow().is_empty() {
-            return Treatment::Usual;
+            return Assessment::USUAL;
         }
-        let digest = digest();
+        let suspects = suspects();
         let now = self.now();
-        self.quarantine.borrow_mut().treatment(digest, now)
+        self.quarantine.borrow_mut().assess(&suspects, now)
     }
 
-    /// Logs a change of treatment and updates the metrics; `source` is a fixed word for what caused
-    /// the change. Wakes requests in flight when one is set aside.
-    pub(crate) fn on_treatment_change(
-        &self,
-        change: Option<TreatmentChange>,
-        source: &'static str,
-    ) {
-        let Some(change) = change else {
-            return;
-        };
+    /// Logs changes of treatment and updates the metrics; `source` is a fixed word for what caused
+    /// the changes. Wakes requests in flight if a verdict changed.
+    pub(crate) fn on_treatment_changes(&self, changes: &[TreatmentChange], source: &'static str) {
+        for change in changes {
+            self.on_treatment_change(change, source);
+        }
+        let verdict_changes = self.quarantine.borrow().verdict_changes();
+        self.verdict_changes.send_if_modified(|known| {
+            let is_new = *known != verdict_changes;
+            *known = verdict_changes;
+            is_new
+        });
+    }
+
+    fn on_treatment_change(&self, change: &TreatmentChange, source: &'static str) {
         // Requests that a peer only watches change little here, and one crash may add dozens.
         let is_serious = change.after.max(change.before) > Treatment::Watched;
         let level = match source == "peer" && !is_serious {
@@ -76,7 +85,8 @@
         log::log!(
             target: "quarantine",
             level,
-            "request={} treatment={} before={} deaths={} on_probation={} source={source}",
+            "{}={} treatment={} before={} deaths={} on_probation={} source={source}",
+            if change.is_part { "part" } else { "request" },
             change.digest,
             change.after.as_str(),
             change.before.as_str(),
@@ -84,22 +94,19 @@
             change.probation_crashes,
         );
         if is_serious {
-            let quarantine = self.quarantine.borrow();
-            self.metrics.record_quarantine(
-                quarantine.on_probation_count(),
-                quarantine.set_aside_count(),
-            );
+            self.metrics.record_quarantine(&self.quarantine.borrow());
         }
-        if change.after == Treatment::SetAside {
-            self.verdict_count.send_modify(|count| *count += 1);
+        if change.is_part && source != "peer" {
+            // The part may be on many requests at all routers at this moment.
+            self.push_due.notify_one();
         }
     }
 
-    /// Waits until a request is set aside.
-    pub(crate) async fn until_set_aside(&self, digest: SuspectDigest) {
-        let mut verdict_count = self.verdict_count.subscribe();
-        while self.treatment(|| digest) != Treatment::SetAside {
-            if verdict_count.changed().await.is_err() {
+    /// Waits until a request with these suspects is set aside.
+    pub(crate) async fn until_set_aside(&self, suspects: Suspects) {
+        let mut verdict_changes = self.verdict_changes.subscribe();
+        while self.assess(|| suspects.clone()).treatment != Treatment::SetAside {
+            if verdict_changes.changed().await.is_err() {
                 return std::future::pending().await;
             }
         }
@@ -107,6 +114,26 @@
 }
 
 impl Exchange {
+    /// What may be blamed if a back end crashes while it runs the request.
+    pub(crate) fn suspects(&self) -> Suspects {
+        Suspects {
+            request: Some(self.digest()),
+            ..self.prompt_suspects()
+        }
+    }
+
+    /// What may be blamed of the request's prompt.
+    pub(crate) fn prompt_suspects(&self) -> Suspects {
+        let parts = &self.suspect_parts;
+        let parts =
+            parts.get_or_init(|| suspect_parts(&self.caller.prompt, pool_name(self.pool())));
+        Suspects {
+            request: None,
+            parts: parts.clone(),
+            caller: caller_hash(self.tenant.as_deref()),
+        }
+    }
+
     /// Digest that identifies the request, whatever id this try of it has.
     pub(crate) fn digest(&self) -> SuspectDigest {
         *self
@@ -114,53 +141,50 @@
             .get_or_init(|| request_digest(&self.head, self.body.bytes(), self.tenant.as_deref()))
     }
 
-    /// How the request is to be treated now.
-    pub(crate) fn treatment(&self) -> Treatment {
-        self.router.treatment(|| self.digest())
+    /// How the request is to be treated now, and why.
+    pub(crate) fn assess(&self) -> Assessment {
+        self.router.assess(|| self.suspects())
     }
 
-    /// Parts of the prompt that may be blamed for a crash.
-    pub(crate) fn suspect_parts(&self) -> Rc<[SuspectPart]> {
-        let parts = &self.suspect_parts;
-        parts
-            .get_or_init(|| suspect_parts(&self.caller.prompt, pool_name(self.pool())))
-            .clone()
+    /// How the request is to be treated now.
+    pub(crate) fn treatment(&self) -> Treatment {
+        self.assess().treatment
     }
 
-    /// A back end of a version completed the request, with a status, without crashing: the request
-    /// did not cause the crashes that are recorded against it.
+    /// A back end of a version completed the request, with a status, without crashing: neither the
+    /// request nor, if the back end generated a response, its prompt parts caused the crashes that
+    /// are recorded against them.
     pub(crate) fn on_successful_run(&self, version: &SoftwareVersion, status: StatusCode) {
+        let now = self.router.now();
+        let mut changes = Vec::new();
         if status.is_success() {
-            let parts = self.suspect_parts();
+            let parts = self.prompt_suspects().parts;
             let mut quarantine = self.router.quarantine.borrow_mut();
-            quarantine.on_complete_response(&parts, version.hash());
+            changes = quarantine.on_complete_response(&parts, version.hash(), now);
         }
-        if self.router.quarantine.borrow().is_empty() {
-            return;
+        if !self.router.quarantine.borrow().is_empty() {
+            let digest = self.digest();
+            let mut quarantine = self.router.quarantine.borrow_mut();
+            changes.extend(quarantine.on_successful_run(digest, now));
         }
-        let now = self.router.now();
-        let digest = self.digest();
-        let change = self
-            .router
-            .quarantine
-            .borrow_mut()
-            .on_successful_run(digest, now);
-        self.router.on_treatment_change(change, "good_run");
+        self.router.on_treatment_changes(&changes, "good_run");
     }
 
     /// The back end for a request on probation, or for a watched one; `None` while no back end that
-    /// its digest selects can take it.
-    pub(crate) fn select_for_probation(&self, treatment: Treatment) -> Option<Choice> {
+    /// the digest of its suspect selects can take it.
+    pub(crate) fn select_for_probation(&self, assessment: Assessment) -> Option<Choice> {
+        let suspect = assessment.suspect?;
         let router = &self.router;
         // Includes back ends that were tried: the digest selects among all of the pool.
         let began_at = self.began_at.as_deref();
         let candidates = router.candidates(self.pool(), &[], self.retryability(), None, began_at);
         let mean = candidates.mean_load();
         let max_watched_load = WATCHED_LOAD_FACTOR * mean + WATCHED_SLACK_REQUESTS;
-        let chosen = select_for_probation(&candidates.list, self.digest(), |candidate| {
+        let chosen = select_for_probation(&candidates.list, suspect, |candidate| {
             let id = &candidates.ids[candidate.index];
             self.is_free_for_probation(id)
-                && (treatment == Treatment::Probation || candidate.load <= max_watched_load)
+                && (assessment.treatment == Treatment::Probation
+                    || candidate.load <= max_watched_load)
         })?;
         Some(self.probation_choice(&candidates, chosen.index, mean))
     }
--- a/crates/stacktack-direct/src/router.rs
+++ b/crates/stacktack-direct/src/router.rs
@@ -163,12 +163,12 @@
     pub(crate) interrupted_runs: RefCell<InterruptedRuns>,
     /// Crash probes, in progress or recent.
     pub(crate) crash_probes: RefCell<HashMap<InstanceId, CrashProbe>>,
-    /// Requests under which back ends crashed.
+    /// Requests and prompt parts under which back ends crashed.
     pub quarantine: RefCell<Quarantine>,
     /// Ids of the back ends that run a request on probation.
     pub(crate) back_ends_on_probation: RefCell<HashSet<String>>,
-    /// Number of times that a request was set aside. Requests in flight wait for changes.
-    pub(crate) verdict_count: watch::Sender<u64>,
+    /// Number of changes of verdicts. Requests in flight wait for it to change.
+    pub(crate) verdict_changes: watch::Sender<u64>,
     /// Counters, gauges and histograms.
     pub metrics: DirectMetrics,
     /// Progress of the process towards its end.
@@ -283,7 +283,7 @@
             crash_probes: RefCell::default(),
             quarantine: RefCell::default(),
             back_ends_on_probation: RefCell::default(),
-            verdict_count: watch::Sender::new(0),
+            verdict_changes: watch::Sender::new(0),
             metrics,
             phase: watch::Sender::new(Phase::Serving),
             planned_stop: Cell::default(),
--- a/crates/stacktack-direct/src/sending.rs
+++ b/crates/stacktack-direct/src/sending.rs
@@ -49,13 +49,14 @@
     /// Makes one attempt: choice, connection, request, head of the response.
     pub(crate) async fn attempt(&mut self, resume_after: Option<&str>) -> AttemptOutcome {
         let stream_in_progress = self.is_stream_in_progress(ResponseProgress::of(resume_after));
-        let treatment = self.treatment();
+        let assessment = self.assess();
+        let treatment = assessment.treatment;
         if treatment == Treatment::SetAside {
             return AttemptOutcome::NoBackEnd;
         }
         let probation = match treatment {
             Treatment::Usual => None,
-            _ => self.select_for_probation(treatment),
+            _ => self.select_for_probation(assessment),
         };
         let on_probation = probation.is_some();
         if treatment == Treatment::Probation && !on_probation {
--- a/crates/stacktack-direct/tests/datagrams.rs
+++ b/crates/stacktack-direct/tests/datagrams.rs
@@ -53,6 +53,7 @@
         probation_crashes: Vec::new(),
         set_aside: true,
         stored: false,
+        part: None,
     }
 }
 
