--- a/crates/stacktack-core/src/direct/quarantine/mod.rs
+++ b/crates/stacktack-core/src/direct/quarantine/mod.rs
@@ -156,7 +156,8 @@
         self.count(Treatment::SetAside, true) + self.count(Treatment::SetAside, false)
     }
 
-    /// Number of changes of verdicts so far: suspects set aside or cleared, and companions ruled out.
+    /// Number of changes of verdicts so far: suspects set aside or cleared, and fewer companions of
+    /// one that is set aside.
     pub fn verdict_changes(&self) -> u64 {
         self.verdict_changes
     }
@@ -302,8 +303,6 @@
     }
 
     fn clear(&mut self, digest: SuspectDigest, now: Time) -> Option<TreatmentChange> {
-        // Verdicts on companions of the suspect apply to more requests from now on.
-        self.verdict_changes += 1;
         let change = self.update(digest, |record| record.clear(now))?;
         if change.before == Treatment::SetAside {
             self.outdated.insert(digest);
