A server error does not clear a request that crashed back ends

A fatal request whose deadline passes in a back end's queue is answered 504 without a run, and was cleared by it, so that its crashes counted from none again. Only a response that is no server error clears a request now, and only a success proves prompt parts. The test failed before: treatment=usual before=watched source=good_run after a 504.

--- a/crates/stacktack-direct/src/quarantine.rs
+++ b/crates/stacktack-direct/src/quarantine.rs
@@ -153,8 +153,12 @@
 
     /// A back end of a version completed the request, with a status, without crashing: neither the
     /// request nor, if the back end generated a response, its prompt parts caused the crashes that
-    /// are recorded against them.
+    /// are recorded against them. A server error proves neither: it may mean that the deadline passed
+    /// in the back end's queue.
     pub(crate) fn on_successful_run(&self, version: &SoftwareVersion, status: StatusCode) {
+        if status.is_server_error() {
+            return;
+        }
         let now = self.router.now();
         let mut changes = Vec::new();
         if status.is_success() {
--- a/crates/stacktack-direct/src/sending.rs
+++ b/crates/stacktack-direct/src/sending.rs
@@ -352,7 +352,6 @@
                         head,
                         body: body.to_bytes(),
                     };
-                    self.on_successful_run(&attempt.version, failed_response.head.status);
                     attempt.finish();
                     AttemptOutcome::Failure(AttemptFailure::Failed, Some(failed_response))
                 }
