Interim responses without end are broken off

What callers saw (outside look, and the test before): a back end that sends interim heads (103) without end held a request until its deadline, 504 after 8 s, while its router read 1.6 GB with the whole processor. Cause: the HTTP client skips interim heads for as long as they come; only the final head was bounded.

--- a/crates/stacktack-direct/src/client.rs
+++ b/crates/stacktack-direct/src/client.rs
@@ -20,6 +20,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use crate::head_limit::{HeadLimit, HeadLimitedStream};
 use crate::source_error::SourceError;
 use crate::transfer::Transfer;
 
@@ -72,6 +73,7 @@
 pub struct ClientConnection {
     sender: SendRequest<Full<Bytes>>,
     driver: Driver,
+    head_limit: HeadLimit,
 }
 
 /// Task that drives a connection; aborted on drop.
@@ -116,6 +118,11 @@
     async fn handshake(stream: TcpStream, max_buffer_bytes: usize) -> Result<Self, ConnectError> {
         stream.set_nodelay(true)?;
         SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
+        let head_limit = HeadLimit::default();
+        let stream = HeadLimitedStream {
+            stream,
+            limit: head_limit.clone(),
+        };
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(max_buffer_bytes)
             .handshake(TokioIo::new(stream))
@@ -124,7 +131,11 @@
             // A failure also reaches the task that waits for the response.
             let _ = connection.await;
         }));
-        Ok(ClientConnection { sender, driver })
+        Ok(ClientConnection {
+            sender,
+            driver,
+            head_limit,
+        })
     }
 
     /// Whether the connection has neither been closed nor failed.
@@ -142,13 +153,13 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
-        self.sender
-            .try_send_request(request)
-            .await
-            .map_err(|mut error| match error.take_message() {
-                Some(_) => SendError::NotWritten,
-                None => SendError::Broken(error.into_error()),
-            })
+        self.head_limit.on_request();
+        let result = self.sender.try_send_request(request).await;
+        self.head_limit.on_head();
+        result.map_err(|mut error| match error.take_message() {
+            Some(_) => SendError::NotWritten,
+            None => SendError::Broken(error.into_error()),
+        })
     }
 }
 
--- a/crates/stacktack-direct/src/lib.rs
+++ b/crates/stacktack-direct/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod followers;
 mod freshness;
 pub mod gossip;
+mod head_limit;
 mod idle_connections;
 mod load_summary;
 pub mod memory;
