A crash that ends a response between two events proves no prompt part

Cause: a response without length or chunks ends with its connection. One that a crash ends between two events looks complete, so that the run was not blamed and its part counted as proven. Where only the end of the connection marks the end, and the run would prove something new, the back end is probed first; a run whose back end has ended counts as interrupted.

--- a/crates/stacktack-core/src/direct/quarantine/interrupted_runs.rs
+++ b/crates/stacktack-core/src/direct/quarantine/interrupted_runs.rs
@@ -56,6 +56,16 @@
         }
     }
 
+    /// Removes the run of a caller's try at an instance: it was complete.
+    pub fn remove(&mut self, instance: InstanceId, try_id: &str) {
+        if let Some(runs) = self.unexplained.get_mut(&instance) {
+            runs.retain(|run| run.try_id != try_id);
+            if runs.is_empty() {
+                self.unexplained.remove(&instance);
+            }
+        }
+    }
+
     /// Records that an instance ended, and returns its recent interrupted runs.
     pub fn on_instance_ended(&mut self, instance: InstanceId, now: Time) -> Vec<InterruptedRun> {
         self.ended.insert(instance, now);
--- a/crates/stacktack-core/src/direct/quarantine/mod.rs
+++ b/crates/stacktack-core/src/direct/quarantine/mod.rs
@@ -284,6 +284,16 @@
             .collect()
     }
 
+    /// Whether a complete run with these suspects at a version would prove anything new.
+    pub fn needs_proof(&self, suspects: &Suspects, version: VersionHash) -> bool {
+        let is_unproven = |part: &SuspectPart| !self.is_proven(part, version);
+        let is_implicated = |digest: SuspectDigest| {
+            let record = self.records.get(&digest);
+            record.is_some_and(Record::is_implicated)
+        };
+        suspects.parts.iter().any(is_unproven) || suspects.digests().any(is_implicated)
+    }
+
     /// Whether a whole response on a part is known, from a back end of a version.
     pub fn is_proven(&self, part: &SuspectPart, version: VersionHash) -> bool {
         self.proven_parts.is_proven(part.digest, version)
--- a/crates/stacktack-direct/src/attempt.rs
+++ b/crates/stacktack-direct/src/attempt.rs
@@ -57,7 +57,7 @@
     /// Address of the back end.
     pub address: SocketAddr,
     /// The connection, once the head of the response has arrived.
-    pub connection: Option<ClientConnection>,
+    pub connection: Option<Box<ClientConnection>>,
     /// How the end of the response is marked, once its head has arrived.
     pub(crate) framing: ResponseFraming,
     slots: u32,
@@ -397,7 +397,7 @@
                 idle_connections.put(
                     self.address,
                     self.slots,
-                    connection,
+                    *connection,
                     self.idle_timeout_seconds,
                     now,
                 );
--- a/crates/stacktack-direct/src/crash_detection.rs
+++ b/crates/stacktack-direct/src/crash_detection.rs
@@ -48,7 +48,18 @@
 }
 
 /// Resolves when a crash probe has finished.
-pub(crate) type CrashProbeDone = Shared<LocalBoxFuture<'static, ()>>;
+pub(crate) type CrashProbeDone = Shared<LocalBoxFuture<'static, ProbeResult>>;
+
+/// What a crash probe found out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ProbeResult {
+    /// The back end accepts connections.
+    Accepts,
+    /// The back end has ended.
+    Ended,
+    /// The probe failed, which proves nothing.
+    Unknown,
+}
 
 /// The back end that a crash probe connects to.
 #[derive(Clone, Debug)]
@@ -108,15 +119,20 @@
     known.done.clone()
 }
 
-async fn run_probe(router: Rc<Router>, target: ProbeTarget) {
+async fn run_probe(router: Rc<Router>, target: ProbeTarget) -> ProbeResult {
     let id = &target.id;
     match check_connection(target.address).await {
-        Ok(()) => log::info!(target: "ended", "back_end={id} ended=false cause=accepts"),
+        Ok(()) => {
+            log::info!(target: "ended", "back_end={id} ended=false cause=accepts");
+            ProbeResult::Accepts
+        }
         Err(error) if error.is_refused() => {
             router.on_back_end_ended(id, target.instance, "refused");
+            ProbeResult::Ended
         }
         Err(error) => {
             log::info!(target: "ended", "back_end={id} ended=unknown cause=\"{error}\"");
+            ProbeResult::Unknown
         }
     }
 }
--- a/crates/stacktack-direct/src/quarantine.rs
+++ b/crates/stacktack-direct/src/quarantine.rs
@@ -10,12 +10,16 @@
 use stacktack_core::direct::quarantine::record::Treatment;
 use stacktack_core::direct::quarantine::suspects::{suspect_parts, CallerHash, Suspects};
 use stacktack_core::direct::quarantine::{Assessment, TreatmentChange};
-use stacktack_core::direct::stream_versions::software_version::SoftwareVersion;
+use stacktack_core::direct::request::attempt::AttemptFailure;
+use stacktack_core::direct::stream_versions::software_version::VersionHash;
 use stacktack_core::direct::traffic::route::Tenant;
 
+use crate::attempt::Attempt;
 use crate::candidates::Candidates;
 use crate::choice::Choice;
+use crate::crash_detection::ProbeResult;
 use crate::exchange::Exchange;
+use crate::response_events::ResponseFraming;
 use crate::router::{pool_name, Router};
 
 /// Multiple of the mean load which, with [`WATCHED_SLACK_REQUESTS`] added, bounds the load up to
@@ -113,6 +117,31 @@
     }
 }
 
+/// A run that a back end completed.
+struct CompleteRun {
+    suspects: Suspects,
+    version: VersionHash,
+    /// Whether the back end generated a response.
+    is_success: bool,
+}
+
+impl Router {
+    /// Clears the suspects of a complete run.
+    fn on_complete_run(&self, run: &CompleteRun) {
+        let now = self.now();
+        let mut changes = Vec::new();
+        let mut quarantine = self.quarantine.borrow_mut();
+        if run.is_success {
+            changes = quarantine.on_complete_response(&run.suspects.parts, run.version, now);
+        }
+        if let Some(request) = run.suspects.request {
+            changes.extend(quarantine.on_successful_run(request, now));
+        }
+        drop(quarantine);
+        self.on_treatment_changes(&changes, "good_run");
+    }
+}
+
 impl Exchange {
     /// What may be blamed if a back end crashes while it runs the request.
     pub(crate) fn suspects(&self) -> Suspects {
@@ -151,27 +180,45 @@
         self.assess().treatment
     }
 
-    /// A back end of a version completed the request, with a status, without crashing: neither the
-    /// request nor, if the back end generated a response, its prompt parts caused the crashes that
-    /// are recorded against them. A server error proves neither: it may mean that the deadline passed
-    /// in the back end's queue.
-    pub(crate) fn on_successful_run(&self, version: &SoftwareVersion, status: StatusCode) {
+    /// A back end completed the request, with a status, without crashing: neither the request nor, if
+    /// the back end generated a response, its prompt parts caused the crashes that are recorded
+    /// against them. A server error proves neither: it may mean that the deadline passed in the back
+    /// end's queue. Where only the end of the connection marks the end of the response, the back end
+    /// may have crashed, which is checked if anything is still to be proven.
+    pub(crate) fn on_successful_run(&self, attempt: &Attempt, status: StatusCode) {
         if status.is_server_error() {
             return;
         }
-        let now = self.router.now();
-        let mut changes = Vec::new();
-        if status.is_success() {
-            let parts = self.prompt_suspects().parts;
-            let mut quarantine = self.router.quarantine.borrow_mut();
-            changes = quarantine.on_complete_response(&parts, version.hash(), now);
-        }
-        if !self.router.quarantine.borrow().is_empty() {
-            let digest = self.digest();
-            let mut quarantine = self.router.quarantine.borrow_mut();
-            changes.extend(quarantine.on_successful_run(digest, now));
+        let suspects = match self.router.quarantine.borrow().is_empty() {
+            true => self.prompt_suspects(),
+            false => self.suspects(),
+        };
+        let run = CompleteRun {
+            suspects,
+            version: attempt.version.hash(),
+            is_success: status.is_success(),
+        };
+        let is_conclusive = attempt.framing != ResponseFraming::Close;
+        if is_conclusive
+            || !self
+                .router
+                .quarantine
+                .borrow()
+                .needs_proof(&run.suspects, run.version)
+        {
+            self.router.on_complete_run(&run);
+            return;
         }
-        self.router.on_treatment_changes(&changes, "good_run");
+        let Some(probe) = self.record_interrupted_run(attempt, AttemptFailure::Broken) else {
+            return;
+        };
+        let (router, instance, id) = (self.router.clone(), attempt.instance, self.id.clone());
+        actix_rt::spawn(async move {
+            if probe.await == ProbeResult::Accepts {
+                router.interrupted_runs.borrow_mut().remove(instance, &id);
+                router.on_complete_run(&run);
+            }
+        });
     }
 
     /// The back end for a request on probation, or for a watched one; `None` while no back end that
--- a/crates/stacktack-direct/src/respond.rs
+++ b/crates/stacktack-direct/src/respond.rs
@@ -68,7 +68,7 @@
     attempt: Attempt,
 ) -> Response<ResponseBody> {
     exchange.record_failure(AttemptFailure::Failed, "-");
-    exchange.on_successful_run(&attempt.version, response.head.status);
+    exchange.on_successful_run(&attempt, response.head.status);
     if matches!(response.source, BodySource::Buffered(_)) {
         attempt.finish();
     }
@@ -87,7 +87,7 @@
     head.headers = exchange.router.protocol.response_headers(&head.headers);
     let body = match source {
         BodySource::Buffered(bytes) => {
-            exchange.on_successful_run(&attempt.version, head.status);
+            exchange.on_successful_run(&attempt, head.status);
             attempt.on_complete();
             attempt.finish();
             exchange.outcome = Outcome::Answered(head.status.as_u16());
--- a/crates/stacktack-direct/src/response_body.rs
+++ b/crates/stacktack-direct/src/response_body.rs
@@ -448,7 +448,7 @@
         {
             exchange.outcome = outcome;
             if matches!(outcome, Outcome::Answered(_)) {
-                exchange.on_successful_run(&attempt.version, self.status);
+                exchange.on_successful_run(&attempt, self.status);
                 attempt.on_complete();
                 attempt.finish();
             }
--- a/crates/stacktack-direct/src/sending.rs
+++ b/crates/stacktack-direct/src/sending.rs
@@ -206,7 +206,7 @@
             let sent = self.await_head(connection.send(request), progress).await;
             match sent {
                 Ok(response) => {
-                    attempt.connection = Some(connection);
+                    attempt.connection = Some(Box::new(connection));
                     return Ok(response);
                 }
                 Err(SendError::NotWritten) => {
