--- a/crates/stacktack-direct/src/datagram.rs
+++ b/crates/stacktack-direct/src/datagram.rs
@@ -2,8 +2,8 @@
 //!
 //! A datagram consists of gossip, quarantine records, the ages of the sender's knowledge of its
 //! sources, the latest answers of the sources and, if there are any, roll-outs, backlogs of back
-//! ends, the work that tenants ask for and the circumstances of crashes under prompt parts. Routers of a release that does not know a later part
-//! leave it unread and do not send it.
+//! ends, the work that tenants ask for and the circumstances of crashes under prompt parts. Routers
+//! of a release that does not know a later part leave it unread and do not send it.
 
 use serde::Deserialize;
 use stacktack_core::direct::peers::peer_gossip::PeerGossip;
