Quarantine: gossip and stored verdicts in modules of their own; less written twice

Whether a suspect is implicated was asked in three places, and the version of crashes by two predicates with one accessor's work. A waiting request is assessed without copying its suspects. The prompts of the simulation stand in a file of their own.

--- a/crates/stacktack-core/src/direct/quarantine/mod.rs
+++ b/crates/stacktack-core/src/direct/quarantine/mod.rs
@@ -27,24 +27,26 @@
 //! - [`proven_parts`]: prompt parts on which back ends generated whole responses.
 //! - [`record`]: mergeable record of the crashes under one suspect.
 //! - [`part_context`]: what distinguishes a fatal part from its companions.
+//! - [`gossip`]: records in datagrams. [`stored_verdicts`]: verdicts in the store.
 //! - [`probation`]: choice of the back end for a request on probation.
 
 pub mod digest;
+mod gossip;
 pub mod interrupted_runs;
 pub mod part_context;
 pub mod probation;
 pub mod proven_parts;
 pub mod record;
+pub mod stored_verdicts;
 pub mod suspects;
 
 use std::collections::{BTreeSet, HashMap};
-use std::time::Duration;
 
 use crate::direct::back_ends::directory::InstanceId;
 use crate::direct::quarantine::digest::SuspectDigest;
 use crate::direct::quarantine::part_context::PartContext;
 use crate::direct::quarantine::proven_parts::ProvenParts;
-use crate::direct::quarantine::record::{Record, RecordGossip, Treatment};
+use crate::direct::quarantine::record::{Record, Treatment};
 use crate::direct::quarantine::suspects::{SuspectPart, Suspects};
 use crate::direct::stream_versions::software_version::VersionHash;
 use crate::time::Time;
@@ -57,39 +59,6 @@
 /// verdict has crashed three or more back ends.
 const MAX_PROTECTED_VERDICTS: usize = 512;
 
-/// Maximum number of recently changed high-priority records in one datagram, 20 to 60 bytes each.
-const MAX_HIGH_PRIORITY_PER_DATAGRAM: usize = 4;
-
-/// Maximum number of recently changed low-priority records in one datagram. A crash adds dozens of
-/// them, and their bytes are taken from the gossip of loads.
-const MAX_LOW_PRIORITY_PER_DATAGRAM: usize = 2;
-
-/// Maximum number of older verdicts in one datagram. These take turns, for routers that joined
-/// since.
-const MAX_OLD_VERDICTS_PER_DATAGRAM: usize = 2;
-
-/// Time for which a change of a high-priority record is gossiped.
-const HIGH_PRIORITY_GOSSIP_TIME: Duration = Duration::from_secs(10);
-
-/// Time for which a change of a low-priority record is gossiped: three gossip rounds in a fleet of
-/// 100.
-const LOW_PRIORITY_GOSSIP_TIME: Duration = Duration::from_secs(3);
-
-/// Maximum time for which the write of a verdict is left to the router that reached it; the delay
-/// is uniformly distributed up to this.
-const MAX_STORE_DELAY: Duration = Duration::from_secs(3);
-
-/// A verdict, that a suspect is set aside, as the store keeps it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct StoredVerdict {
-    /// Suspect that is set aside.
-    pub digest: SuspectDigest,
-    /// Epoch of the suspect's record that the verdict belongs to.
-    pub epoch: u32,
-    /// Circumstances of the crashes, if the suspect is a prompt part.
-    pub part: Option<PartContext>,
-}
-
 /// How a request is to be treated, and why.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Assessment {
@@ -192,6 +161,12 @@
         Assessment { treatment, suspect }
     }
 
+    /// Whether crashes or a verdict are recorded against a suspect.
+    fn is_implicated(&self, digest: SuspectDigest) -> bool {
+        let record = self.records.get(&digest);
+        record.is_some_and(Record::is_implicated)
+    }
+
     /// Whether the verdict on a suspect applies to a request: it concerns the caller, and the request
     /// has all companions of the suspect that were not cleared since.
     fn applies(&self, digest: SuspectDigest, suspects: &Suspects) -> bool {
@@ -202,14 +177,11 @@
         let Some(part) = part else {
             return true;
         };
-        let is_cleared = |companion: SuspectDigest| {
-            let record = self.records.get(&companion);
-            !record.is_some_and(Record::is_implicated)
-        };
         let mut companions = part.companions().iter();
         part.concerns(suspects.caller)
             && companions.all(|companion| {
-                is_cleared(*companion) || suspects.digests().any(|digest| digest == *companion)
+                !self.is_implicated(*companion)
+                    || suspects.digests().any(|digest| digest == *companion)
             })
     }
 
@@ -275,7 +247,10 @@
         }
         let is_disproved = |part: &&SuspectPart| {
             let record = self.records.get(&part.digest);
-            record.is_some_and(|record| record.is_implicated() && record.may_be_at(version))
+            record.is_some_and(|record| {
+                let crashed_at = record.crashed_version();
+                record.is_implicated() && crashed_at.is_none_or(|crashed| crashed == version)
+            })
         };
         let disproved: Vec<SuspectPart> = parts.iter().filter(is_disproved).copied().collect();
         let cleared = disproved.iter();
@@ -287,11 +262,8 @@
     /// Whether a complete run with these suspects at a version would prove anything new.
     pub fn needs_proof(&self, suspects: &Suspects, version: VersionHash) -> bool {
         let is_unproven = |part: &SuspectPart| !self.is_proven(part, version);
-        let is_implicated = |digest: SuspectDigest| {
-            let record = self.records.get(&digest);
-            record.is_some_and(Record::is_implicated)
-        };
-        suspects.parts.iter().any(is_unproven) || suspects.digests().any(is_implicated)
+        suspects.parts.iter().any(is_unproven)
+            || suspects.digests().any(|digest| self.is_implicated(digest))
     }
 
     /// Whether a whole response on a part is known, from a back end of a version.
@@ -305,11 +277,9 @@
         digest: SuspectDigest,
         now: Time,
     ) -> Option<TreatmentChange> {
-        let record = self.records.get(&digest)?;
-        if !record.is_implicated() {
-            return None;
-        }
-        self.clear(digest, now)
+        self.is_implicated(digest)
+            .then(|| self.clear(digest, now))
+            .flatten()
     }
 
     fn clear(&mut self, digest: SuspectDigest, now: Time) -> Option<TreatmentChange> {
@@ -320,40 +290,6 @@
         Some(change)
     }
 
-    /// Merges records that a peer gossips. `draw`, random from 0 to 1, is the fraction of
-    /// `MAX_STORE_DELAY` after which this router writes a new verdict itself if no other router
-    /// has.
-    pub fn merge(
-        &mut self,
-        records: &[RecordGossip],
-        draw: f64,
-        now: Time,
-    ) -> Vec<TreatmentChange> {
-        let mut changes = Vec::new();
-        for gossip in records {
-            self.make_room(now);
-            let proven_at = self.proven_parts.version(gossip.digest);
-            let mut is_disproved = false;
-            let change = self.update(gossip.digest, |record| {
-                record.merge(gossip, now);
-                is_disproved = record.is_implicated() && record.is_at(proven_at);
-                if is_disproved {
-                    record.clear(now);
-                }
-            });
-            if is_disproved && gossip.set_aside {
-                self.outdated.insert(gossip.digest);
-            }
-            if let Some(change) = change {
-                if change.after == Treatment::SetAside {
-                    self.schedule_write(gossip.digest, now + MAX_STORE_DELAY.mul_f64(draw));
-                }
-                changes.push(change);
-            }
-        }
-        changes
-    }
-
     /// Updates a record and returns the resulting change of treatment, if any.
     fn update(
         &mut self,
@@ -362,11 +298,11 @@
     ) -> Option<TreatmentChange> {
         let record = self.records.entry(digest).or_default();
         let before = record.treatment();
-        let companions_before = record.companions();
+        let companions_before = record.companion_count();
         apply(record);
         let after = record.treatment();
         let is_verdict = before.max(after) == Treatment::SetAside;
-        if is_verdict && (before != after || record.companions() != companions_before) {
+        if is_verdict && (before != after || record.companion_count() != companions_before) {
             self.verdict_changes += 1;
         }
         (after != before).then_some(TreatmentChange {
@@ -379,166 +315,6 @@
         })
     }
 
-    fn schedule_write(&mut self, digest: SuspectDigest, due: Time) {
-        if let Some(record) = self.records.get_mut(&digest) {
-            if record.stored_since.is_none() {
-                record.store_due = Some(due);
-            }
-        }
-    }
-
-    /// Records for one datagram: recent changes, those of high priority first, and older verdicts
-    /// in turn.
-    pub fn gossip(&mut self, now: Time) -> Vec<RecordGossip> {
-        let mut records = self.recent_changes(
-            MAX_HIGH_PRIORITY_PER_DATAGRAM,
-            HIGH_PRIORITY_GOSSIP_TIME,
-            Record::is_high_priority,
-            now,
-        );
-        let is_low_priority = |record: &Record| !record.is_high_priority();
-        records.extend(self.recent_changes(
-            MAX_LOW_PRIORITY_PER_DATAGRAM,
-            LOW_PRIORITY_GOSSIP_TIME,
-            is_low_priority,
-            now,
-        ));
-        records.extend(self.old_verdicts(now));
-        records
-    }
-
-    /// Up to `limit` of the selected records that changed within `max_age`, the latest first.
-    fn recent_changes(
-        &self,
-        limit: usize,
-        max_age: Duration,
-        is_selected: impl Fn(&Record) -> bool,
-        now: Time,
-    ) -> Vec<RecordGossip> {
-        let mut recent: Vec<_> = self.records.iter().collect();
-        recent
-            .retain(|(_, record)| is_selected(record) && now.since(record.last_changed) < max_age);
-        // A crash blames dozens of requests, but few parts.
-        recent.sort_unstable_by_key(|(digest, record)| {
-            std::cmp::Reverse((record.part.is_some(), record.last_changed, **digest))
-        });
-        let latest = recent.into_iter().take(limit);
-        latest
-            .map(|(digest, record)| record.gossip(*digest))
-            .collect()
-    }
-
-    fn old_verdicts(&mut self, now: Time) -> Vec<RecordGossip> {
-        let is_verdict = |record: &Record| record.treatment() == Treatment::SetAside;
-        let is_old = |record: &Record| now.since(record.last_changed) >= HIGH_PRIORITY_GOSSIP_TIME;
-        let mut old: Vec<_> = self.records.iter().collect();
-        old.retain(|(_, record)| is_verdict(record) && is_old(record));
-        if old.is_empty() {
-            return Vec::new();
-        }
-        old.sort_unstable_by_key(|(digest, _)| **digest);
-        let count = old.len().min(MAX_OLD_VERDICTS_PER_DATAGRAM);
-        let first = self.next_old_verdict % old.len();
-        self.next_old_verdict = self.next_old_verdict.wrapping_add(count);
-        let in_turn = old.iter().cycle().skip(first).take(count);
-        in_turn
-            .map(|(digest, record)| record.gossip(**digest))
-            .collect()
-    }
-
-    /// Verdicts to write to the store now.
-    pub fn verdicts_to_write(&self, now: Time) -> Vec<StoredVerdict> {
-        let is_due = |record: &Record| record.store_due.is_some_and(|due| due <= now);
-        let records = self.records.iter();
-        records
-            .filter(|(_, record)| record.treatment() == Treatment::SetAside && is_due(record))
-            .map(|(digest, record)| StoredVerdict {
-                digest: *digest,
-                epoch: record.epoch,
-                part: record.part.clone(),
-            })
-            .collect()
-    }
-
-    /// Requests whose verdict is to be removed from the store.
-    pub fn verdicts_to_remove(&self) -> Vec<SuspectDigest> {
-        self.outdated.iter().copied().collect()
-    }
-
-    /// Records that the store now holds the `written` verdicts and no longer the `removed` ones.
-    pub fn on_verdicts_written(
-        &mut self,
-        written: &[StoredVerdict],
-        removed: &[SuspectDigest],
-        now: Time,
-    ) {
-        for verdict in written {
-            if let Some(record) = self.records.get_mut(&verdict.digest) {
-                if record.epoch == verdict.epoch {
-                    record.stored_since = Some(now);
-                    record.store_due = None;
-                    // Gossip it again at once, so that the other routers need not write it.
-                    record.last_changed = now;
-                }
-            }
-        }
-        for digest in removed {
-            self.outdated.remove(digest);
-        }
-    }
-
-    /// Applies all verdicts of the store, as of a read that began at `read_began`. A verdict that
-    /// was stored before and no longer is was lifted by an operator.
-    pub fn apply_stored(
-        &mut self,
-        verdicts: &[StoredVerdict],
-        read_began: Time,
-        now: Time,
-    ) -> Vec<TreatmentChange> {
-        let mut changes: Vec<TreatmentChange> = Vec::new();
-        for verdict in verdicts {
-            self.make_room(now);
-            let mut is_outdated = false;
-            let change = self.update(verdict.digest, |record| {
-                is_outdated = record.epoch > verdict.epoch;
-                if !is_outdated {
-                    record.epoch = verdict.epoch;
-                    if let Some(part) = &verdict.part {
-                        record.merge_part(part, now);
-                    }
-                    record.set_aside(now);
-                    record.stored_since = record.stored_since.or(Some(now));
-                    record.store_due = None;
-                }
-            });
-            if is_outdated {
-                self.outdated.insert(verdict.digest);
-            }
-            changes.extend(change);
-        }
-        let is_listed = |digest: &SuspectDigest| {
-            let mut listed = verdicts.iter();
-            listed.any(|verdict| verdict.digest == *digest)
-        };
-        let was_stored =
-            |record: &Record| record.stored_since.is_some_and(|since| since < read_began);
-        let lifted: Vec<SuspectDigest> = self
-            .records
-            .iter()
-            .filter(|(digest, record)| {
-                record.treatment() == Treatment::SetAside
-                    && was_stored(record)
-                    && !is_listed(digest)
-            })
-            .map(|(digest, _)| *digest)
-            .collect();
-        for digest in lifted {
-            changes.extend(self.clear(digest, now));
-            self.outdated.remove(&digest);
-        }
-        changes
-    }
-
     /// Drops expired records.
     pub fn expire(&mut self, now: Time) {
         self.records.retain(|_, record| !record.is_expired(now));
--- a/crates/stacktack-core/src/direct/quarantine/record.rs
+++ b/crates/stacktack-core/src/direct/quarantine/record.rs
@@ -127,22 +127,14 @@
     }
 
     /// Number of companions that a request must have for the verdict to apply.
-    pub fn companions(&self) -> usize {
+    pub fn companion_count(&self) -> usize {
         let part = self.part.as_ref();
         part.map_or(0, |part| part.companions().len())
     }
 
-    /// Whether the crashes are known to have been at a software version.
-    pub fn is_at(&self, version: Option<VersionHash>) -> bool {
-        let part = self.part.as_ref();
-        version.is_some() && part.and_then(PartContext::version) == version
-    }
-
-    /// Whether the crashes may have been at a software version.
-    pub fn may_be_at(&self, version: VersionHash) -> bool {
-        let part = self.part.as_ref();
-        let known = part.and_then(PartContext::version);
-        known.is_none_or(|known| known == version)
+    /// Software version of the back ends that crashed under a prompt part, if known.
+    pub fn crashed_version(&self) -> Option<VersionHash> {
+        self.part.as_ref().and_then(PartContext::version)
     }
 
     pub fn crashes(&self) -> usize {
--- a/crates/stacktack-core/tests/quarantine/main.rs
+++ b/crates/stacktack-core/tests/quarantine/main.rs
@@ -7,6 +7,7 @@
 #[path = "../event_queue/mod.rs"]
 mod event_queue;
 mod parts;
+mod prompts;
 mod simulation;
 
 use std::time::Duration;
@@ -17,8 +18,9 @@
 use stacktack_core::direct::back_ends::directory::InstanceId;
 use stacktack_core::direct::quarantine::interrupted_runs::{InterruptedRun, InterruptedRuns};
 use stacktack_core::direct::quarantine::record::{RecordGossip, Treatment};
+use stacktack_core::direct::quarantine::stored_verdicts::StoredVerdict;
 use stacktack_core::direct::quarantine::suspects::{CallerHash, Suspects};
-use stacktack_core::direct::quarantine::{Quarantine, StoredVerdict};
+use stacktack_core::direct::quarantine::Quarantine;
 use stacktack_core::time::Time;
 
 const SECOND: Duration = Duration::from_secs(1);
--- a/crates/stacktack-core/tests/quarantine/parts.rs
+++ b/crates/stacktack-core/tests/quarantine/parts.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use crate::simulation::{FatalPrompt, Outcome, Prompts, Scenario, Simulation};
+use crate::prompts::{FatalPrompt, Prompts};
+use crate::simulation::{Outcome, Scenario, Simulation};
 use crate::{scenario, show, FLEETS};
 
 /// Share of sound tries that have to run at once from the sixth second after the fifth crash on.
--- a/crates/stacktack-core/tests/quarantine/simulation.rs
+++ b/crates/stacktack-core/tests/quarantine/simulation.rs
@@ -14,20 +14,19 @@
 use rand_chacha::ChaCha8Rng;
 use stacktack_core::direct::back_ends::directory::{BackEndEntry, InstanceId};
 use stacktack_core::direct::back_ends::health::Health;
-use stacktack_core::direct::choice::prompt::{PromptChain, PromptPart};
 use stacktack_core::direct::choice::select::DirectCandidate;
 use stacktack_core::direct::peers::peer_gossip::{OwnGossip, PeerGossip, ZoneHash};
 use stacktack_core::direct::peers::Peers;
 use stacktack_core::direct::quarantine::digest::{RequestIdentity, SuspectDigest};
 use stacktack_core::direct::quarantine::probation::select_for_probation;
 use stacktack_core::direct::quarantine::record::{RecordGossip, Treatment};
-use stacktack_core::direct::quarantine::suspects::{suspect_parts, CallerHash, Suspects};
 use stacktack_core::direct::quarantine::{Assessment, Quarantine};
 use stacktack_core::direct::stream_versions::software_version::{SoftwareVersion, VersionHash};
 use stacktack_core::time::Time;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::event_queue::{random_time, EventQueue};
+use crate::prompts::{Content, Prompts, FATAL_PARTS};
 
 const GOSSIP_INTERVAL: Duration = Duration::from_millis(100);
 const DATAGRAM_LOSS: f64 = 0.03;
@@ -58,84 +57,9 @@
 /// Time after the fifth crash under a fatal part from which sound requests are served as usual.
 pub const MAX_DISTURBANCE: Duration = Duration::from_secs(6);
 
-/// Part that most sound requests begin with.
-const COMMON_PART: u64 = 1;
-
-/// Fatal parts.
-const FATAL_PARTS: [u64; 2] = [11, 12];
-
-/// Part that only fatal requests have until [`NEW_PART_DELAY`] after their start.
-const NEW_PART: u64 = 21;
-
-/// Time after which sound requests begin to use [`NEW_PART`].
+/// Time after which sound requests begin to use the part of [`FatalPrompt::AfterNew`](crate::prompts::FatalPrompt::AfterNew).
 const NEW_PART_DELAY: Duration = Duration::from_secs(8);
 
-/// First of the parts that many sound requests share.
-const FIRST_SUBJECT: u64 = 1000;
-
-/// First of the parts that two sound requests each have.
-const FIRST_RARE_PART: u64 = 1_000_000;
-
-/// Prompts of requests in a simulation with prompt parts.
-#[derive(Clone, Copy, Debug)]
-pub struct Prompts {
-    /// Prompts of the fatal requests.
-    pub fatal: FatalPrompt,
-    /// Number of parts that many sound requests share.
-    pub subjects: u64,
-    /// Share of sound requests that have a part which only one other request has.
-    pub rare_share: f64,
-    /// Number of callers that send fatal requests.
-    pub fatal_callers: u64,
-}
-
-/// Prompts of fatal requests, which are new each time but for the parts named here.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum FatalPrompt {
-    /// The common part, then the fatal one.
-    AfterCommon,
-    /// A subject, then the fatal part.
-    AfterSubject,
-    /// The fatal part, then a subject.
-    First,
-    /// One of two fatal parts, after the common one.
-    TwoParts,
-    /// A part that sound requests have only later, then the fatal one.
-    AfterNew,
-}
-
-/// What a request consists of.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Content {
-    /// Number that distinguishes requests.
-    pub request: u64,
-    /// Shared parts of the prompt.
-    pub parts: Vec<u64>,
-    /// Number of the caller.
-    pub caller: u64,
-}
-
-impl Content {
-    fn is_fatal_by_part(&self) -> bool {
-        self.parts.iter().any(|part| FATAL_PARTS.contains(part))
-    }
-
-    pub fn suspects(&self) -> Suspects {
-        let mut parts: Vec<PromptPart> = Vec::new();
-        for id in self.parts.iter().chain([&0]) {
-            parts.push(PromptPart {
-                id: *id,
-                tokens: 100,
-            });
-        }
-        Suspects {
-            request: Some(digest(self.request)),
-            parts: suspect_parts(&PromptChain { parts }, "m"),
-            caller: CallerHash::of(&self.caller.to_string()),
-        }
-    }
-}
-
 /// Sound requests of one kind, from [`MAX_DISTURBANCE`] after the fifth crash on, or after the last
 /// one if there are fewer.
 #[derive(Clone, Copy, Debug, Default)]
@@ -170,7 +94,7 @@
 
 #[derive(Clone, Debug, Default)]
 pub struct Outcome {
-    /// Sound requests with a subject, with a rare part, and with [`NEW_PART`].
+    /// Sound requests by [`Content::neighbour_kind`].
     pub neighbours: [Neighbours; 3],
     pub crashes: usize,
     /// For each fatal request or part: sends later than [`MAX_REACTION_TIME`] after the third or
@@ -467,16 +391,9 @@
         let Some(prompts) = self.scenario.prompts else {
             return Vec::new();
         };
-        if self.random.random_bool(prompts.rare_share) {
-            return vec![COMMON_PART, FIRST_RARE_PART + self.request_count / 20];
-        }
-        let subject = FIRST_SUBJECT + self.random.random_range(0..prompts.subjects);
         let start = Time(1_000_000) + WARM_UP;
-        let uses_new = prompts.fatal == FatalPrompt::AfterNew
-            && self.queue.now > start + NEW_PART_DELAY
-            && self.random.random_bool(0.1);
-        let first = if uses_new { NEW_PART } else { COMMON_PART };
-        vec![first, subject]
+        let may_use_new = self.queue.now > start + NEW_PART_DELAY;
+        prompts.draw_sound(self.request_count, may_use_new, &mut self.random)
     }
 
     /// A fatal request: always the same one without prompts, else a new one.
@@ -489,37 +406,24 @@
             };
         };
         self.request_count += 1;
-        let subject = FIRST_SUBJECT + self.random.random_range(0..prompts.subjects);
-        let [first_fatal, second_fatal] = FATAL_PARTS;
-        let parts = match prompts.fatal {
-            FatalPrompt::AfterCommon => vec![COMMON_PART, first_fatal],
-            FatalPrompt::AfterSubject => vec![subject, first_fatal],
-            FatalPrompt::First => vec![first_fatal, subject],
-            FatalPrompt::TwoParts if self.random.random_bool(0.5) => {
-                vec![COMMON_PART, second_fatal]
-            }
-            FatalPrompt::TwoParts => vec![COMMON_PART, first_fatal],
-            FatalPrompt::AfterNew => vec![NEW_PART, first_fatal],
-        };
         Content {
             request: self.request_count,
-            parts,
+            parts: prompts.draw_fatal(&mut self.random),
             caller: self.random.random_range(0..prompts.fatal_callers),
         }
     }
 
     fn is_fatal(&self, content: &Content) -> bool {
         match self.scenario.prompts {
-            Some(_) => content.is_fatal_by_part(),
+            Some(_) => content.fatal_part().is_some(),
             None => (content.request as usize) < self.scenario.fatal,
         }
     }
 
     /// Index of what makes a request fatal.
     fn fatal_index(&self, content: &Content) -> usize {
-        let is_in = |part: &u64| content.parts.contains(part);
         match self.scenario.prompts {
-            Some(_) => FATAL_PARTS.iter().position(is_in).unwrap_or(0),
+            Some(_) => content.fatal_part().unwrap_or(0),
             None => content.request as usize,
         }
     }
@@ -534,11 +438,7 @@
         if !is_over || content.parts.is_empty() {
             return;
         }
-        let kind = match &content.parts[..] {
-            [NEW_PART, ..] => 2,
-            [_, part] if *part >= FIRST_RARE_PART => 1,
-            _ => 0,
-        };
+        let kind = content.neighbour_kind();
         self.outcome.neighbours[kind].tries += 1;
         self.outcome.neighbours[kind].begun += usize::from(has_begun);
     }
--- a/crates/stacktack-direct/src/ports.rs
+++ b/crates/stacktack-direct/src/ports.rs
@@ -17,7 +17,7 @@
 use stacktack_core::direct::back_ends::zone_drain::ZoneDrainUpdate;
 use stacktack_core::direct::choice::prompt::PromptChain;
 use stacktack_core::direct::quarantine::digest::SuspectDigest;
-use stacktack_core::direct::quarantine::StoredVerdict;
+use stacktack_core::direct::quarantine::stored_verdicts::StoredVerdict;
 use stacktack_core::direct::rollout::order::RolloutOrder;
 use stacktack_core::direct::rollout::status::{StatusWrite, StatusWriteResult};
 use stacktack_core::direct::traffic::route::TrafficConfiguration;
--- a/crates/stacktack-direct/src/quarantine.rs
+++ b/crates/stacktack-direct/src/quarantine.rs
@@ -109,7 +109,12 @@
     /// Waits until a request with these suspects is set aside.
     pub(crate) async fn until_set_aside(&self, suspects: Suspects) {
         let mut verdict_changes = self.verdict_changes.subscribe();
-        while self.assess(|| suspects.clone()).treatment != Treatment::SetAside {
+        let is_set_aside = || {
+            let now = self.now();
+            let assessment = self.quarantine.borrow_mut().assess(&suspects, now);
+            assessment.treatment == Treatment::SetAside
+        };
+        while !is_set_aside() {
             if verdict_changes.changed().await.is_err() {
                 return std::future::pending().await;
             }
