The candidates of a pool move to the core, so that simulations choose from the same

No change of logic: loads, limits and the load of the pool are computed as before, in stacktack_core::direct::choice::pool_candidates instead of the router's crate.

--- /dev/null
+++ b/crates/stacktack-core/src/direct/choice/pool_candidates.rs
@@ -0,0 +1,97 @@
+//! The members of a pool as candidates of one request, with what is known of their loads.
+
+use crate::direct::admission::pool_load::{LoadReport, PoolLoad};
+use crate::direct::admission::SlotLimit;
+use crate::direct::back_ends::back_end::BackEnd;
+use crate::direct::back_ends::health::Health;
+use crate::direct::choice::select::DirectCandidate;
+use crate::time::Time;
+
+/// Place of a member in its pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MemberPlace {
+    /// Whether it is in the router's zone.
+    pub same_zone: bool,
+    /// Whether its zone is drained.
+    pub is_drained: bool,
+}
+
+/// Members of a pool at the time of a request.
+#[derive(Clone, Debug, Default)]
+pub struct PoolCandidates {
+    /// The members as candidates of the choice.
+    pub list: Vec<DirectCandidate>,
+    /// What is known of their loads, in the same order.
+    reports: Vec<LoadReport>,
+}
+
+impl PoolCandidates {
+    /// Adds a member. Without a limit it never counts as full.
+    pub fn push(
+        &mut self,
+        member: &BackEnd,
+        health: Health,
+        place: MemberPlace,
+        limit: Option<SlotLimit>,
+        now: Time,
+    ) {
+        let load = member.load.estimate(now);
+        let age = member.load.estimate_age(now);
+        let slots = member.entry.slots;
+        // While the requests of other routers are not known, only this router's own count
+        // against the limit.
+        let load_beyond_own = match age {
+            Some(_) => 0.0,
+            None => load - f64::from(member.load.in_flight),
+        };
+        self.list.push(DirectCandidate {
+            index: self.list.len(),
+            id_hash: member.id_hash,
+            load,
+            limit: limit.map_or(f64::INFINITY, |limit| {
+                limit.requests(slots) + load_beyond_own
+            }),
+            same_zone: place.same_zone,
+            health,
+            eligible: !place.is_drained && member.may_get_requests(now),
+        });
+        self.reports.push(LoadReport { load, slots, age });
+    }
+
+    /// Whether some candidate is eligible and not full.
+    pub fn any_has_capacity(&self) -> bool {
+        let mut eligible = self.list.iter().filter(|candidate| candidate.eligible);
+        eligible.any(|candidate| candidate.load < candidate.limit)
+    }
+
+    /// Load of the pool over its eligible members of the best health; `None` if not known.
+    pub fn pool_load(&self) -> Option<PoolLoad> {
+        let eligible = self.list.iter().filter(|candidate| candidate.eligible);
+        let best_health = eligible.map(|candidate| candidate.health).min()?;
+        let is_best = |(candidate, _): &(&DirectCandidate, _)| {
+            candidate.eligible && candidate.health == best_health
+        };
+        let pairs = self.list.iter().zip(&self.reports).filter(is_best);
+        let reports: Vec<LoadReport> = pairs.map(|(_, report)| *report).collect();
+        PoolLoad::from_reports(&reports)
+    }
+
+    /// Mean of the loads; 0 without members.
+    pub fn mean_load(&self) -> f64 {
+        let sum: f64 = self.list.iter().map(|candidate| candidate.load).sum();
+        sum / self.list.len().max(1) as f64
+    }
+
+    /// Sets each eligible member's load to what is expected from the age of its report, each other
+    /// member's to its residual load, and each limit to what follows from the load of the pool.
+    pub fn apply_pool_load(&mut self, pool: &PoolLoad, hold_seconds: f64) {
+        for (candidate, report) in self.list.iter_mut().zip(&self.reports) {
+            candidate.load = if candidate.eligible {
+                pool.expected_load(report, hold_seconds)
+            } else {
+                report.residual_load(hold_seconds)
+            };
+            candidate.limit = pool.back_end_limit(candidate.limit);
+        }
+    }
+}
--- a/crates/stacktack-direct/src/candidates.rs
+++ b/crates/stacktack-direct/src/candidates.rs
@@ -3,11 +3,10 @@
 use std::time::Duration;
 
 use stacktack_core::configuration::selector::{matches_all, Requirement};
-use stacktack_core::direct::admission::pool_load::{LoadReport, PoolLoad};
 use stacktack_core::direct::admission::SlotLimit;
 use stacktack_core::direct::back_ends::directory::InstanceId;
 use stacktack_core::direct::back_ends::outlier_detector::Retryability;
-use stacktack_core::direct::choice::select::DirectCandidate;
+use stacktack_core::direct::choice::pool_candidates::{MemberPlace, PoolCandidates};
 use stacktack_core::direct::request::attempt::AttemptFailure;
 use stacktack_core::direct::rollout::VersionSelection;
 use stacktack_core::direct::stream_versions::software_version::SoftwareVersion;
@@ -77,7 +76,7 @@
         let filter = self.version_filter(pool, excluded.is_empty());
         let candidates = self.candidates_for_version(filter, pool, excluded, request, limit);
         if filter == VersionFilter::Selected(VersionSelection::New)
-            && !candidates.any_has_capacity()
+            && !candidates.pool.any_has_capacity()
         {
             let old = VersionFilter::Selected(VersionSelection::Old);
             return self.candidates_for_version(old, pool, excluded, request, limit);
@@ -102,30 +101,12 @@
                 && self.matches_version_filter(entry, filter)
         });
         let mut candidates = Candidates::default();
-        for (index, (member, health)) in members.into_iter().enumerate() {
-            let zone = member.entry.zone();
-            let is_drained = zone_drains.covers(&member.entry);
-            let load = member.load.estimate(now);
-            let age = member.load.estimate_age(now);
-            let slots = member.entry.slots;
-            // While the requests of other routers are not known, only this router's own count
-            // against the limit.
-            let load_beyond_own = match age {
-                Some(_) => 0.0,
-                None => load - f64::from(member.load.in_flight),
+        for (member, health) in members {
+            let place = MemberPlace {
+                same_zone: member.entry.zone() == Some(&self.settings.zone),
+                is_drained: zone_drains.covers(&member.entry),
             };
-            candidates.list.push(DirectCandidate {
-                index,
-                id_hash: member.id_hash,
-                load,
-                limit: limit.map_or(f64::INFINITY, |limit| {
-                    limit.requests(slots) + load_beyond_own
-                }),
-                same_zone: zone == Some(&self.settings.zone),
-                health,
-                eligible: !is_drained && member.may_get_requests(now),
-            });
-            candidates.reports.push(LoadReport { load, slots, age });
+            candidates.pool.push(member, health, place, limit, now);
             candidates.ids.push(member.entry.id.clone());
         }
         candidates
@@ -135,51 +116,10 @@
 /// Members of a pool at the time of a request.
 #[derive(Debug, Default)]
 pub struct Candidates {
-    /// The members as candidates of the choice.
-    pub list: Vec<DirectCandidate>,
-    /// What is known of their loads, in the same order.
-    reports: Vec<LoadReport>,
+    /// The members as candidates of the choice, with their loads.
+    pub pool: PoolCandidates,
     /// Their ids, in the same order.
     pub ids: Vec<String>,
     /// Work of the request at them, in the same order; empty in pools that do not count work.
     pub work: Vec<CandidateWork>,
 }
-
-impl Candidates {
-    /// Whether some candidate is eligible and not full.
-    fn any_has_capacity(&self) -> bool {
-        let mut eligible = self.list.iter().filter(|candidate| candidate.eligible);
-        eligible.any(|candidate| candidate.load < candidate.limit)
-    }
-
-    /// Load of the pool over its eligible members of the best health; `None` if not known.
-    pub fn pool_load(&self) -> Option<PoolLoad> {
-        let eligible = self.list.iter().filter(|candidate| candidate.eligible);
-        let best_health = eligible.map(|candidate| candidate.health).min()?;
-        let is_best = |(candidate, _): &(&DirectCandidate, _)| {
-            candidate.eligible && candidate.health == best_health
-        };
-        let pairs = self.list.iter().zip(&self.reports).filter(is_best);
-        let reports: Vec<LoadReport> = pairs.map(|(_, report)| *report).collect();
-        PoolLoad::from_reports(&reports)
-    }
-
-    /// Mean of the loads; 0 without members.
-    pub fn mean_load(&self) -> f64 {
-        let sum: f64 = self.list.iter().map(|candidate| candidate.load).sum();
-        sum / self.list.len().max(1) as f64
-    }
-
-    /// Sets each eligible member's load to what is expected from the age of its report, each other
-    /// member's to its residual load, and each limit to what follows from the load of the pool.
-    pub fn apply_pool_load(&mut self, pool: &PoolLoad, hold_seconds: f64) {
-        for (candidate, report) in self.list.iter_mut().zip(&self.reports) {
-            candidate.load = if candidate.eligible {
-                pool.expected_load(report, hold_seconds)
-            } else {
-                report.residual_load(hold_seconds)
-            };
-            candidate.limit = pool.back_end_limit(candidate.limit);
-        }
-    }
-}
--- a/crates/stacktack-direct/src/choice.rs
+++ b/crates/stacktack-direct/src/choice.rs
@@ -144,9 +144,9 @@
         candidates.work = self
             .router
             .estimate_work(self.pool(), &self.caller, &candidates.ids);
-        let pool_load = candidates.pool_load();
+        let pool_load = candidates.pool.pool_load();
         if let (Some(pool), Some(hold)) = (pool_load, self.hold_seconds()) {
-            candidates.apply_pool_load(&pool, hold);
+            candidates.pool.apply_pool_load(&pool, hold);
         }
         let mut bounds = SelectBounds::for_load_cap(self.router.bounds().load_cap);
         if pool_load.is_some_and(|pool| pool.is_full()) {
@@ -161,11 +161,11 @@
             (Some(choice), _) => Some(choice.selection),
             (None, Some(part)) => {
                 let bounds = self.spread_bounds(part.id, &candidates, bounds);
-                select_by_affinity(&candidates.list, part.id, &bounds)
+                select_by_affinity(&candidates.pool.list, part.id, &bounds)
             }
-            (None, None) => select_by_load(&candidates.list, rand::rng().next_u64(), &bounds),
+            (None, None) => select_by_load(&candidates.pool.list, rand::rng().next_u64(), &bounds),
         }?;
-        let health = candidates.list[selection.index].health;
+        let health = candidates.pool.list[selection.index].health;
         let back_end = candidates.ids[selection.index].clone();
         let load_age = self.router.load_age(&back_end);
         let work = candidates.work.get(selection.index).copied();
@@ -200,7 +200,7 @@
             time_left: self.route.objective.saturating_sub(self.elapsed()),
         };
         let engines = self.engine_work(candidates);
-        select_by_first_event(&candidates.list, &engines, &wanted, &bounds)
+        select_by_first_event(&candidates.pool.list, &engines, &wanted, &bounds)
     }
 
     /// Work of the request at each candidate, and what a copy of the shared parts would save.
@@ -254,9 +254,9 @@
     ) -> SelectBounds {
         let is_first_try = self.tried.is_empty();
         let now = self.router.now();
-        let mean_load = candidates.mean_load();
+        let mean_load = candidates.pool.mean_load();
         let pool = PoolStats {
-            members: candidates.list.len(),
+            members: candidates.pool.list.len(),
             mean_load,
             spill_headroom: bounds.spill_headroom(mean_load),
         };
--- a/crates/stacktack-direct/src/quarantine.rs
+++ b/crates/stacktack-direct/src/quarantine.rs
@@ -234,9 +234,9 @@
         // Includes back ends that were tried: the digest selects among all of the pool.
         let began_at = self.began_at.as_deref();
         let candidates = router.candidates(self.pool(), &[], self.retryability(), None, began_at);
-        let mean = candidates.mean_load();
+        let mean = candidates.pool.mean_load();
         let max_watched_load = WATCHED_LOAD_FACTOR * mean + WATCHED_SLACK_REQUESTS;
-        let chosen = select_for_probation(&candidates.list, suspect, |candidate| {
+        let chosen = select_for_probation(&candidates.pool.list, suspect, |candidate| {
             let id = &candidates.ids[candidate.index];
             self.is_free_for_probation(id)
                 && (assessment.treatment == Treatment::Probation
@@ -260,7 +260,7 @@
     }
 
     fn probation_choice(&self, candidates: &Candidates, index: usize, mean: f64) -> Choice {
-        let candidate = &candidates.list[index];
+        let candidate = &candidates.pool.list[index];
         let back_end = candidates.ids[index].clone();
         let work = self
             .router
