Logs: the bound of each choice, and who was passed over

A choice line told the load and the mean, so that a back end taken above the bound because all others were avoided looked like one believed too low. choice now tells the bound, the members behind the mean, and how many good and avoided ones were below the bound; stacktack_sends_at_bound counts sends at the bound by whether an avoided back end was below it; belief tells for how long a back end was suspect. No choice changes.

--- a/crates/stacktack-core/src/direct/back_ends/back_end.rs
+++ b/crates/stacktack-core/src/direct/back_ends/back_end.rs
@@ -265,6 +265,11 @@
         self.outlier_detector.is_suspect()
     }
 
+    /// When this router last began to suspect the back end.
+    pub fn suspect_since(&self) -> Time {
+        self.outlier_detector.suspect_since()
+    }
+
     /// Records that a peer reports the back end as suspect. Returns whether this report makes the
     /// number of reporting peers sufficient while no recent success outweighs their reports.
     pub fn on_suspect_report(&mut self, peer: SocketAddr, now: Time) -> bool {
--- a/crates/stacktack-core/src/direct/back_ends/outlier_detector.rs
+++ b/crates/stacktack-core/src/direct/back_ends/outlier_detector.rs
@@ -60,6 +60,8 @@
     pause_until: Time,
     /// Failures that made or kept the back end suspect since it was last cleared.
     suspect_failures: u32,
+    /// When the back end last became suspect.
+    suspect_since: Time,
 }
 
 impl OutlierDetector {
@@ -72,7 +74,11 @@
         } else {
             (1.0 - FAILING_SHARE) / (1.0 - normal_share)
         };
+        let was_suspect = self.is_suspect();
         self.score = (self.score + likelihood_ratio.ln()).clamp(0.0, MAX_SCORE);
+        if self.is_suspect() && !was_suspect {
+            self.suspect_since = now;
+        }
         if !self.is_suspect() {
             self.suspect_failures = 0;
         } else if failed {
@@ -87,6 +93,11 @@
         self.score >= SUSPECT_SCORE
     }
 
+    /// When the back end last became suspect.
+    pub fn suspect_since(&self) -> Time {
+        self.suspect_since
+    }
+
     /// Whether a suspect back end may get this request as a trial: a retryable one after the
     /// pause, any other one `NOT_RETRYABLE_EXTRA_PAUSE` later.
     pub fn allows_trial(&self, now: Time, request: Retryability) -> bool {
--- a/crates/stacktack-core/src/direct/choice/pool_candidates.rs
+++ b/crates/stacktack-core/src/direct/choice/pool_candidates.rs
@@ -4,7 +4,7 @@
 use crate::direct::admission::SlotLimit;
 use crate::direct::back_ends::back_end::BackEnd;
 use crate::direct::back_ends::health::Health;
-use crate::direct::choice::select::DirectCandidate;
+use crate::direct::choice::select::{spill_bound, DirectCandidate, SelectBounds};
 use crate::time::Time;
 
 /// Place of a member in its pool.
@@ -16,6 +16,28 @@
     pub is_drained: bool,
 }
 
+/// How the members of a pool stand to the spill bound of a request, for logs and metrics.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct PoolCensus {
+    /// Spill bound, in requests.
+    pub bound: f64,
+    /// Members over which the mean load was taken.
+    pub members: usize,
+    /// Eligible members in bad health.
+    pub avoided: usize,
+    /// Eligible members in good health whose load is below the bound.
+    pub good_below: usize,
+    /// Eligible members in bad health whose load is below the bound.
+    pub avoided_below: usize,
+}
+
+impl PoolCensus {
+    /// Whether a back end with this load is at its bound although some avoided member is below it.
+    pub fn passes_by_avoided(&self, load: f64) -> bool {
+        load >= self.bound && self.avoided_below > 0
+    }
+}
+
 /// Members of a pool at the time of a request.
 #[derive(Clone, Debug, Default)]
 pub struct PoolCandidates {
@@ -76,6 +98,25 @@
         PoolLoad::from_reports(&reports)
     }
 
+    /// How the members stand to the spill bound of a request.
+    pub fn census(&self, bounds: &SelectBounds) -> PoolCensus {
+        let bound = spill_bound(&self.list, bounds);
+        let eligible = self.list.iter().filter(|candidate| candidate.eligible);
+        let (good, avoided): (Vec<_>, Vec<_>) =
+            eligible.partition(|candidate| candidate.health == Health::Good);
+        let below = |members: &[&DirectCandidate]| {
+            let below = members.iter().filter(|candidate| candidate.load < bound);
+            below.count()
+        };
+        PoolCensus {
+            bound,
+            members: self.list.len(),
+            avoided: avoided.len(),
+            good_below: below(&good),
+            avoided_below: below(&avoided),
+        }
+    }
+
     /// Mean of the loads; 0 without members.
     pub fn mean_load(&self) -> f64 {
         let sum: f64 = self.list.iter().map(|candidate| candidate.load).sum();
--- a/crates/stacktack-direct/src/attempt.rs
+++ b/crates/stacktack-direct/src/attempt.rs
@@ -348,13 +348,17 @@
             version_observer.on_outcome(&self.router, failed);
         }
         let now = self.router.now();
-        let mut suspect = None;
-        self.with_back_end(|back_end| suspect = back_end.on_outcome(failed, now));
-        if let Some(suspect) = suspect {
+        let mut change = None;
+        self.with_back_end(|back_end| {
+            let suspect = back_end.on_outcome(failed, now);
+            change = suspect.map(|suspect| (suspect, now.since(back_end.suspect_since())));
+        });
+        if let Some((suspect, after)) = change {
             log::info!(
                 target: "belief",
-                "back_end={} suspect={suspect} cause=own_outcomes",
-                self.back_end
+                "back_end={} suspect={suspect} cause=own_outcomes for_ms={}",
+                self.back_end,
+                after.as_millis()
             );
         }
     }
--- a/crates/stacktack-direct/src/choice.rs
+++ b/crates/stacktack-direct/src/choice.rs
@@ -14,6 +14,7 @@
     select_by_first_event, Copying, EngineWork, FirstEventChoice, Wanted,
 };
 use stacktack_core::direct::choice::part_shares::{PartWork, PoolStats};
+use stacktack_core::direct::choice::pool_candidates::PoolCensus;
 use stacktack_core::direct::choice::select::{
     is_home, likely_holder, select_by_affinity, select_by_load, DirectCandidate, SelectBounds,
     Selection,
@@ -49,6 +50,8 @@
     pub load_age: Option<Duration>,
     /// Load of the pool; `None` if not known.
     pub pool_load: Option<PoolLoad>,
+    /// How the members of the pool stand to their spill bound; empty for a request on probation.
+    pub census: PoolCensus,
     /// Predicted time until the back end sends the first event of the response; `None` in pools
     /// that do not count work.
     pub first_event_after: Option<Duration>,
@@ -79,6 +82,7 @@
             health: candidate.health,
             load_age,
             pool_load: None,
+            census: PoolCensus::default(),
             first_event_after: None,
             by_first_event: None,
             work: None,
@@ -105,6 +109,15 @@
             .map_or("-", |choice| choice.placement.as_str())
     }
 
+    /// Log fields of the members' loads against their bound.
+    pub(crate) fn census_fields(&self) -> String {
+        let census = &self.census;
+        format!(
+            "bound={:.1} members={} avoided={} good_below={} avoided_below={}",
+            census.bound, census.members, census.avoided, census.good_below, census.avoided_below
+        )
+    }
+
     /// Predicted time until the first event in milliseconds, for logs.
     pub(crate) fn first_event_text(&self) -> String {
         self.first_event_after
@@ -175,6 +188,7 @@
             health,
             load_age,
             pool_load,
+            census: candidates.pool.census(&bounds),
             first_event_after: by_first_event
                 .zip(work)
                 .map(|(choice, work)| choice.first_event_after + work.fixed),
--- a/crates/stacktack-direct/src/metrics.rs
+++ b/crates/stacktack-direct/src/metrics.rs
@@ -13,6 +13,7 @@
     attempts: Counter<u64>,
     announcements: Counter<u64>,
     placements: Counter<u64>,
+    sends_at_bound: Counter<u64>,
     contradicting_sends: Counter<u64>,
     retries: Counter<u64>,
     resumptions: Counter<u64>,
@@ -66,6 +67,10 @@
                 .u64_counter("stacktack_placements")
                 .with_description("Choices by the time to the first event, by what decided")
                 .build(),
+            sends_at_bound: meter
+                .u64_counter("stacktack_sends_at_bound")
+                .with_description("Sends to back ends at their spill bound, by whether an avoided one was below it")
+                .build(),
             announcements: meter
                 .u64_counter("stacktack_announcements")
                 .with_description("Responses in which back ends announced that they leave or pause")
@@ -182,6 +187,13 @@
             .add(1, &[KeyValue::new("placement", placement)]);
     }
 
+    /// Counts a request that is sent to a back end at its spill bound; `passed_by` says whether an
+    /// avoided back end was below it.
+    pub fn count_send_at_bound(&self, passed_by: bool) {
+        self.sends_at_bound
+            .add(1, &[KeyValue::new("passed_by_avoided", passed_by)]);
+    }
+
     /// Counts a response in which a back end announced something about itself.
     pub fn count_announcement(&self, announcement: Announcement) {
         self.announcements
--- a/crates/stacktack-direct/src/sending.rs
+++ b/crates/stacktack-direct/src/sending.rs
@@ -119,6 +119,10 @@
         if let Some(age) = choice.load_age {
             self.router.metrics.record_load_age(age.as_secs_f64());
         }
+        if choice.selection.load >= choice.census.bound && choice.census.members > 0 {
+            let passed_by = choice.census.passes_by_avoided(choice.selection.load);
+            self.router.metrics.count_send_at_bound(passed_by);
+        }
         if let Some(work) = choice.work {
             self.router.metrics.record_backlog(&work.backlog);
         }
@@ -130,7 +134,7 @@
         }
         log::info!(
             target: "choice",
-            "id={} part={:x} tokens={} back_end={} version={} resumes={} probation={on_probation} load={:.1} load_age_ms={} mean={:.1} pool_fill={} first_event_ms={} placement={} {} rank={} standing={} announced={} fetch={} config={} directory={} directory_age_ms={} peers={}",
+            "id={} part={:x} tokens={} back_end={} version={} resumes={} probation={on_probation} load={:.1} load_age_ms={} mean={:.1} {} pool_fill={} first_event_ms={} placement={} {} rank={} standing={} announced={} fetch={} config={} directory={} directory_age_ms={} peers={}",
             self.id,
             self.caller.prompt.affinity_part().map_or(0, |part| part.id),
             self.caller.prompt.shared_tokens(),
@@ -140,6 +144,7 @@
             choice.selection.load,
             choice.load_age_text(),
             choice.selection.mean,
+            choice.census_fields(),
             choice.pool_fill_text(),
             choice.first_event_text(),
             choice.placement_text(),
