Loads of members that get no requests fall as their requests end

Callers saw back ends above the load bound after others had failed. In a fleet that lives on load reports, an avoided member was believed to approach the mean of those that took its requests, so that the mean, and with it the bound of all, rose to several times what it was (virtual time, 23 routers: bound believed above 30 where it was 9, no request passed a member of 50 by). And the few that had taken everything were believed to hold it for 5 s after they had drained: four of 42 kept the mean at twice its value. Now the load of a member in worse health than those in use is what is left of its report, and so is a load above twice the load from which routers spill, down to that load. A test of drained zones compiles again.

--- a/crates/stacktack-core/src/direct/admission/pool_load.rs
+++ b/crates/stacktack-core/src/direct/admission/pool_load.rs
@@ -30,6 +30,17 @@
 /// admits is decided for the pool as a whole.
 const FULL_LOAD_OVER_MEAN: f64 = 1.25;
 
+/// Multiple of the mean load that, plus [`SPILL_SLACK`], is about the load from which routers send
+/// requests elsewhere.
+const SPILL_OVER_MEAN: f64 = 1.5;
+
+/// Requests that are added to [`SPILL_OVER_MEAN`] times the mean load.
+const SPILL_SLACK: f64 = 2.0;
+
+/// Multiple of that load from which all routers send requests elsewhere, however old their reports
+/// are.
+const AVOIDED_OVER_SPILL: f64 = 2.0;
+
 /// Mean age of a pool's reports from which they are fully stale.
 const STALE_AGE: Duration = Duration::from_millis(100);
 
@@ -153,8 +164,13 @@
     /// Expected present load of a back end. A report says less the more requests began and
     /// ended since, so that a load below the mean approaches the mean with the age of the
     /// report; a load above the mean stays as reported. Without this, back ends with stale
-    /// reports of low loads get what all routers send at once.
+    /// reports of low loads get what all routers send at once. A load so far above the mean that
+    /// no router sends anything falls as requests end, down to where some may send again.
     pub fn expected_load(&self, report: &LoadReport, hold_seconds: f64) -> f64 {
+        let spill_load = SPILL_OVER_MEAN * self.mean_load + SPILL_SLACK;
+        if report.load > AVOIDED_OVER_SPILL * spill_load {
+            return report.residual_load(hold_seconds).max(spill_load);
+        }
         let Some(age) = report.age.filter(|_| report.load < self.mean_load) else {
             return report.load;
         };
--- a/crates/stacktack-core/src/direct/choice/pool_candidates.rs
+++ b/crates/stacktack-core/src/direct/choice/pool_candidates.rs
@@ -123,11 +123,14 @@
         sum / self.list.len().max(1) as f64
     }
 
-    /// Sets each eligible member's load to what is expected from the age of its report, each other
-    /// member's to its residual load, and each limit to what follows from the load of the pool.
+    /// Sets the load of each member that gets requests to what is expected from the age of its report,
+    /// that of each other member to its residual load, and each limit to what follows from the load
+    /// of the pool.
     pub fn apply_pool_load(&mut self, pool: &PoolLoad, hold_seconds: f64) {
+        let eligible = self.list.iter().filter(|candidate| candidate.eligible);
+        let best_health = eligible.map(|candidate| candidate.health).min();
         for (candidate, report) in self.list.iter_mut().zip(&self.reports) {
-            candidate.load = if candidate.eligible {
+            candidate.load = if candidate.eligible && Some(candidate.health) == best_health {
                 pool.expected_load(report, hold_seconds)
             } else {
                 report.residual_load(hold_seconds)
--- a/crates/stacktack-direct/tests/zone_drains.rs
+++ b/crates/stacktack-direct/tests/zone_drains.rs
@@ -216,7 +216,7 @@
 /// Ids of the back ends that may get requests.
 fn eligible_back_ends(router: &Router) -> Vec<String> {
     let candidates = router.candidates(&[], &[], Retryability::Retryable, None, None);
-    let pairs = candidates.list.iter().zip(&candidates.ids);
+    let pairs = candidates.pool.list.iter().zip(&candidates.ids);
     let mut ids: Vec<String> = pairs
         .filter(|(candidate, _)| candidate.eligible)
         .map(|(_, id)| id.clone())
