Where all preferred back ends are at the bound, requests keep to their homes among them

While back ends in bad health are avoided and idle, the mean is low, and all others are above the bound that follows from it. Then the least loaded one took the request, whatever its part: all routers of a fleet crowded the one with the lowest report (virtual time, 23 routers, 21 of 42 back ends failing for 8 s: one held 26 where the mean of those in use was 10; 37 of 48 requests of the first tenth of a second after the failures above the bound). The new test failed before.

--- a/crates/stacktack-core/src/direct/choice/select.rs
+++ b/crates/stacktack-core/src/direct/choice/select.rs
@@ -182,7 +182,7 @@
     let rank = match first_rank_below(&order, best, bound, bounds.max_full_candidates) {
         Some(rank) if rank > 0 && many_ineligible => least_loaded_near(&order, rank, best),
         Some(rank) => rank,
-        None => least_loaded_rank(&order, best)?,
+        None => rank_in_full_tier(&order, best, bounds)?,
     };
     let chosen = order[rank].1;
     Some(Selection {
@@ -336,6 +336,21 @@
         .map_or(rank, |(rank, _)| rank)
 }
 
+/// Rank of a candidate with the best health, where none of these is below the spill bound of the pool:
+/// the first that is below the bound that follows from their load alone, or the least loaded.
+///
+/// With the least loaded one, all routers would crowd the candidate with the lowest report.
+fn rank_in_full_tier(
+    order: &[(u64, &DirectCandidate)],
+    best: Health,
+    bounds: &SelectBounds,
+) -> Option<usize> {
+    let of_tier = order.iter().map(|(_, candidate)| *candidate);
+    let mean = mean_load(of_tier.filter(|candidate| candidate.health == best))?;
+    let bound = bound_at(mean, mean, bounds);
+    first_rank_below(order, best, bound, usize::MAX).or_else(|| least_loaded_rank(order, best))
+}
+
 fn least_loaded_rank(order: &[(u64, &DirectCandidate)], best: Health) -> Option<usize> {
     order
         .iter()
--- a/crates/stacktack-core/tests/direct.rs
+++ b/crates/stacktack-core/tests/direct.rs
@@ -1,5 +1,6 @@
 //! Decisions of a direct router: routes, retries, complete events of streams, choice of back ends.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -369,3 +370,20 @@
         "some back end has to be below the spill bound"
     );
 }
+
+#[test]
+fn routers_do_not_crowd_the_least_loaded_member_where_all_are_at_the_bound() {
+    // Members that are avoided and idle keep the mean, and so the bound of the pool, low.
+    let members = (0..12).map(|index| candidate(index, 20.0 + index as f64 / 10.0));
+    let avoided = (12..36).map(|index| DirectCandidate {
+        health: Health::Degraded,
+        ..candidate(index, 0.0)
+    });
+    let candidates: Vec<_> = members.chain(avoided).collect();
+    let bounds = SelectBounds::for_load_cap(2.0);
+    let chosen: HashSet<usize> = (0..100)
+        .filter_map(|part| select_by_affinity(&candidates, part, &bounds))
+        .map(|selection| selection.index)
+        .collect();
+    assert_eq!(chosen.len(), 12);
+}
