Routers no longer keep each other from back ends that serve again

A back end that this router suspects was reported to peers for as long as the suspicion lasted, and it ends by trials only. While two peers report a back end, a router tries it not even when its own pause is over; so three routers that had each seen one failure kept each other from that back end for good, wherever no more than a third of the pool was reported. On virtual time, 0.3 of the back ends failing for 2 s: with 4 and 23 routers more than half of them got no request in the 5 s afterwards (new test, failed before). Now a failure is reported for 4 s, the longest pause between two trials.

--- a/crates/stacktack-core/src/direct/back_ends/back_end.rs
+++ b/crates/stacktack-core/src/direct/back_ends/back_end.rs
@@ -47,6 +47,10 @@
 /// Maximum age of a peer's suspect report that counts.
 const MAX_SUSPECT_REPORT_AGE: Duration = Duration::from_millis(1500);
 
+/// Time for which a failure makes this router report a back end as suspect: the longest pause between
+/// two trials.
+const SUSPICION_REPORT_TTL: Duration = Duration::from_secs(4);
+
 /// Peers that have to report a back end as suspect. One is not enough: a peer may suspect a back
 /// end after a single failure, and single failures are scattered over many back ends.
 const MIN_REPORTING_PEERS: usize = 2;
@@ -91,6 +95,7 @@
     /// Peers that reported it as suspect, and when.
     suspect_reports: Vec<(SocketAddr, Time)>,
     last_success: Option<Time>,
+    last_failure: Option<Time>,
     first_byte_seconds: Option<f64>,
     /// Time from which silence counts: that of the last byte from the back end, of a send while no
     /// request was in flight, or of the end of a suspension, whichever is latest.
@@ -118,6 +123,7 @@
             outlier_detector: OutlierDetector::default(),
             suspect_reports: Vec::new(),
             last_success: None,
+            last_failure: None,
             first_byte_seconds: None,
             silence_timer_start: now,
             last_used: now,
@@ -250,7 +256,9 @@
     pub fn on_outcome(&mut self, failed: bool, now: Time) -> Option<bool> {
         let value = f64::from(u8::from(failed));
         self.failure_share += FAILURE_SHARE_WEIGHT * (value - self.failure_share);
-        if !failed {
+        if failed {
+            self.last_failure = Some(now);
+        } else {
             self.last_success = Some(now);
         }
         let before = self.outlier_detector.is_suspect();
@@ -265,6 +273,14 @@
         self.outlier_detector.is_suspect()
     }
 
+    /// Whether this router suspects the back end since a failure that is recent enough to be told to
+    /// peers. A report of an old one would keep peers from trying the back end, and theirs would
+    /// keep this router from it.
+    pub fn has_recent_failure(&self, now: Time) -> bool {
+        let is_recent = |at: Time| now.since(at) < SUSPICION_REPORT_TTL;
+        self.is_suspect() && self.last_failure.is_some_and(is_recent)
+    }
+
     /// When this router last began to suspect the back end.
     pub fn suspect_since(&self) -> Time {
         self.outlier_detector.suspect_since()
--- a/crates/stacktack-core/src/direct/back_ends/mod.rs
+++ b/crates/stacktack-core/src/direct/back_ends/mod.rs
@@ -343,10 +343,10 @@
     /// Short ids of at most `limit` back ends that this router suspects, for gossip. Silent back
     /// ends are not included: where many requests wait, a back end is silent only at times, and a
     /// fleet that avoids it all at once overloads the back ends that get its requests instead.
-    pub fn suspects(&self, limit: usize) -> Vec<ShortId> {
+    pub fn suspects(&self, limit: usize, now: Time) -> Vec<ShortId> {
         self.members
             .values()
-            .filter(|member| member.is_suspect())
+            .filter(|member| member.has_recent_failure(now))
             .map(|member| ShortId::of(member.id_hash))
             .take(limit)
             .collect()
--- a/crates/stacktack-core/tests/outlier_detection.rs
+++ b/crates/stacktack-core/tests/outlier_detection.rs
@@ -161,7 +161,7 @@
         Health::Degraded
     );
     assert!(
-        all.suspects(9).is_empty(),
+        all.suspects(9, at(100)).is_empty(),
         "reports of peers are not passed on"
     );
     assert_eq!(health(&mut all, "b0", at(1600), retryability), Health::Good);
@@ -192,5 +192,5 @@
     let mut all = pool(3);
     all.get_mut("b0").expect("known").on_send(at(0));
     assert!(all.get("b0").expect("known").is_silent(at(500)));
-    assert!(all.suspects(9).is_empty());
+    assert!(all.suspects(9, at(500)).is_empty());
 }
--- a/crates/stacktack-core/tests/recovering_back_ends/main.rs
+++ b/crates/stacktack-core/tests/recovering_back_ends/main.rs
@@ -155,3 +155,17 @@
     let broken = breaking(&scenarios.concat());
     assert!(broken.is_empty(), "{broken:#?}");
 }
+
+#[test]
+fn back_ends_that_all_routers_suspect_are_used_again() {
+    for (routers, back_ends) in [(4, 18), (23, 42)] {
+        let measured = measure(Scenario {
+            failing_share: 0.3,
+            ..errors(routers, back_ends)
+        });
+        assert!(
+            measured.half_used_after < simulation::WINDOW,
+            "{measured:?}"
+        );
+    }
+}
--- a/crates/stacktack-core/tests/recovering_back_ends/simulation.rs
+++ b/crates/stacktack-core/tests/recovering_back_ends/simulation.rs
@@ -228,7 +228,7 @@
             serving: true,
             in_flight: self.back_ends.own_loads(all_loads, now),
             reported_loads,
-            suspects: self.back_ends.suspects(MAX_SUSPECTS),
+            suspects: self.back_ends.suspects(MAX_SUSPECTS, now),
             zone_drains: Vec::new(),
         }
     }
--- a/crates/stacktack-direct/src/gossip.rs
+++ b/crates/stacktack-direct/src/gossip.rs
@@ -191,7 +191,7 @@
         } else {
             router.back_ends.borrow().reported_loads(now)
         },
-        suspects: router.back_ends.borrow().suspects(MAX_SUSPECTS),
+        suspects: router.back_ends.borrow().suspects(MAX_SUSPECTS, now),
         zone_drains: router.zone_drains.borrow().gossip(),
     }
 }
