Two successes clear a back end also where its whole pool failed

The test that makes a back end suspect weighs outcomes against the pool's failure share. While most of a pool fails, that share is a half, and a success then says so little that it took seven to clear a back end that serves again: one at a time, by each router. A suspect's success is now weighed against a sound back end. The new test failed before.

--- a/crates/stacktack-core/src/direct/back_ends/outlier_detector.rs
+++ b/crates/stacktack-core/src/direct/back_ends/outlier_detector.rs
@@ -71,6 +71,9 @@
         let normal_share = pool_share.clamp(MIN_NORMAL_SHARE, MAX_NORMAL_SHARE);
         let likelihood_ratio = if failed {
             FAILING_SHARE / normal_share
+        } else if self.is_suspect() {
+            // A pool whose members all fail is no norm for one that serves again.
+            (1.0 - FAILING_SHARE) / (1.0 - MIN_NORMAL_SHARE)
         } else {
             (1.0 - FAILING_SHARE) / (1.0 - normal_share)
         };
--- a/crates/stacktack-core/tests/outlier_detection.rs
+++ b/crates/stacktack-core/tests/outlier_detection.rs
@@ -194,3 +194,13 @@
     assert!(all.get("b0").expect("known").is_silent(at(500)));
     assert!(all.suspects(9, at(500)).is_empty());
 }
+
+#[test]
+fn a_pool_that_fails_as_a_whole_does_not_delay_the_return_of_a_member() {
+    let mut detector = detector_after(&[true; 40], 0.5);
+    assert!(detector.is_suspect());
+    for _ in 0..2 {
+        detector.on_outcome(false, 0.5, at(1));
+    }
+    assert!(!detector.is_suspect());
+}
