--- a/crates/stacktack-core/src/direct/back_ends/back_end.rs
+++ b/crates/stacktack-core/src/direct/back_ends/back_end.rs
@@ -10,13 +10,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::direct::back_ends::announcement::Announcements;
 use crate::direct::back_ends::directory::{BackEndEntry, InstanceId, VanishedInstance};
 use crate::direct::back_ends::health::{Health, MemberStats, PoolMedians};
 use crate::direct::back_ends::load::BackEndLoad;
-use crate::direct::back_ends::outlier_detector::{OutlierDetector, Retryability};
+use crate::direct::back_ends::outlier_detector::{OutlierDetector, TrialTerms};
 use crate::direct::back_ends::slow_start::SlowStartLimiter;
 use crate::direct::work::back_end_work::BackEndWork;
 use crate::retry::exponential_delay;
@@ -58,6 +58,13 @@
 /// Maximum age of a successful response to this router that outweighs suspect reports.
 const MAX_OVERRIDING_SUCCESS_AGE: Duration = Duration::from_millis(500);
 
+/// Time for which a success at a back end that was suspect is told to peers.
+const RECOVERY_RETENTION: Duration = Duration::from_secs(2);
+
+/// Minimum time between two successes for both to count. Relayed times are rounded, so that one
+/// success may be told with times that differ by less.
+const MIN_RECOVERY_SPACING: Duration = Duration::from_millis(40);
+
 /// Time since this router's last request to a back end with slow responses after which the back
 /// end is no longer degraded, so that it gets requests again.
 const SLOW_RESPONSES_TTL: Duration = Duration::from_secs(3);
@@ -94,8 +101,17 @@
     outlier_detector: OutlierDetector,
     /// Peers that reported it as suspect, and when.
     suspect_reports: Vec<(SocketAddr, Time)>,
+    /// When enough peers last reported it as suspect.
+    reported_at: Option<Time>,
     last_success: Option<Time>,
     last_failure: Option<Time>,
+    /// Latest success since a router suspected the back end, of this router or a peer; `None` after
+    /// a failure.
+    recovered_at: Option<Time>,
+    /// Requests of this router whose response has not begun.
+    unanswered: u32,
+    /// When this router last received a byte from it.
+    last_byte: Time,
     first_byte_seconds: Option<f64>,
     /// Time from which silence counts: that of the last byte from the back end, of a send while no
     /// request was in flight, or of the end of a suspension, whichever is latest.
@@ -122,8 +138,12 @@
             pool_failure_share: 0.0,
             outlier_detector: OutlierDetector::default(),
             suspect_reports: Vec::new(),
+            reported_at: None,
             last_success: None,
             last_failure: None,
+            recovered_at: None,
+            unanswered: 0,
+            last_byte: now,
             first_byte_seconds: None,
             silence_timer_start: now,
             last_used: now,
@@ -223,6 +243,7 @@
             self.silence_timer_start = now;
         }
         self.last_used = now;
+        self.unanswered += 1;
         self.load.on_send(now);
         self.announcements.on_send(now);
         if let Some(limiter) = &mut self.slow_start {
@@ -230,9 +251,15 @@
         }
     }
 
+    /// Records that the response to a request began, or that the request ended without one.
+    pub fn on_answered(&mut self) {
+        self.unanswered = self.unanswered.saturating_sub(1);
+    }
+
     /// Records that bytes arrived from the back end, which ends its ejection.
     pub fn on_bytes(&mut self, now: Time) {
         self.silence_timer_start = now;
+        self.last_byte = now;
         self.consecutive_unreachable_attempts = 0;
         self.ejected_until = None;
     }
@@ -256,12 +283,16 @@
     pub fn on_outcome(&mut self, failed: bool, now: Time) -> Option<bool> {
         let value = f64::from(u8::from(failed));
         self.failure_share += FAILURE_SHARE_WEIGHT * (value - self.failure_share);
+        let before = self.outlier_detector.is_suspect();
         if failed {
             self.last_failure = Some(now);
+            self.recovered_at = None;
         } else {
             self.last_success = Some(now);
+            if before || self.has_suspect_reports(now) || self.recovered_at.is_some() {
+                self.recovered_at = Some(now);
+            }
         }
-        let before = self.outlier_detector.is_suspect();
         self.outlier_detector
             .on_outcome(failed, self.pool_failure_share, now);
         let after = self.outlier_detector.is_suspect();
@@ -273,12 +304,13 @@
         self.outlier_detector.is_suspect()
     }
 
-    /// Whether this router suspects the back end since a failure that is recent enough to be told to
-    /// peers. A report of an old one would keep peers from trying the back end, and theirs would
-    /// keep this router from it.
-    pub fn has_recent_failure(&self, now: Time) -> bool {
-        let is_recent = |at: Time| now.since(at) < SUSPICION_REPORT_TTL;
-        self.is_suspect() && self.last_failure.is_some_and(is_recent)
+    /// When the back end last failed, if this router suspects it and the failure is recent enough to be
+    /// told to peers. A report of an old one would keep peers from trying the back end, and theirs
+    /// would keep this router from it.
+    pub fn recent_failure(&self, now: Time) -> Option<Time> {
+        let failed_at = self.last_failure?;
+        let is_recent = now.since(failed_at) < SUSPICION_REPORT_TTL;
+        (is_recent && self.is_suspect() && !self.has_recovered()).then_some(failed_at)
     }
 
     /// When this router last began to suspect the back end.
@@ -293,23 +325,41 @@
         self.suspect_reports
             .retain(|(reporter, at)| *reporter != peer && now.since(*at) < MAX_SUSPECT_REPORT_AGE);
         self.suspect_reports.push((peer, now));
-        self.is_reported_suspect(now) && !before
+        let is_reported = self.is_reported_suspect(now);
+        if is_reported {
+            self.reported_at = Some(now);
+        }
+        is_reported && !before
+    }
+
+    /// Whether peers reported the back end as suspect, no success has been known since, and too
+    /// little time has passed for this request.
+    fn is_reported_for(&self, terms: &TrialTerms, now: Time) -> bool {
+        let lapsed_recently = self
+            .reported_at
+            .is_some_and(|at| self.last_success < Some(at) && now.since(at) < terms.extra_pause());
+        lapsed_recently || self.is_reported_suspect(now)
     }
 
     /// Whether enough peers recently reported the back end as suspect and no response to this
     /// router recently succeeded.
     fn is_reported_suspect(&self, now: Time) -> bool {
-        let recent = self
-            .suspect_reports
-            .iter()
-            .filter(|(_, at)| now.since(*at) < MAX_SUSPECT_REPORT_AGE);
-        let reported = recent.count() >= MIN_REPORTING_PEERS;
+        let reported = self.recent_reports(now).count() >= MIN_REPORTING_PEERS;
         let succeeded = self
             .last_success
             .is_some_and(|at| now.since(at) < MAX_OVERRIDING_SUCCESS_AGE);
         reported && !succeeded
     }
 
+    fn recent_reports(&self, now: Time) -> impl Iterator<Item = &(SocketAddr, Time)> {
+        let reports = self.suspect_reports.iter();
+        reports.filter(move |(_, at)| now.since(*at) < MAX_SUSPECT_REPORT_AGE)
+    }
+
+    fn has_suspect_reports(&self, now: Time) -> bool {
+        self.recent_reports(now).next().is_some()
+    }
+
     /// Records that another instance answered at the back end's address: this instance is gone for
     /// good although the directory may still list it. The back end gets no more requests until the
     /// directory has an entry of a newer revision. A lower preference alone is not enough: when
@@ -332,6 +382,33 @@
         true
     }
 
+    /// Latest success at the back end, of this router or a peer, if it shows that the back end
+    /// serves again: it is later than the last known failure, and this router or a peer suspected
+    /// the back end until then.
+    pub fn recovery(&self, now: Time) -> Option<Time> {
+        let at = self.recovered_at?;
+        (now.since(at) < RECOVERY_RETENTION).then_some(at)
+    }
+
+    /// Records a success at the back end that a peer had. Returns whether it changes what this
+    /// router believes: it ends suspicion, or brings it nearer to its end.
+    pub fn on_peer_success(&mut self, at: Time, now: Time) -> Option<bool> {
+        let is_older = self.last_failure.is_some_and(|failed| at <= failed)
+            || self
+                .recovered_at
+                .is_some_and(|known| at < known + MIN_RECOVERY_SPACING);
+        if is_older || now.since(at) >= RECOVERY_RETENTION {
+            return None;
+        }
+        self.recovered_at = Some(at);
+        self.last_success = self.last_success.max(Some(at));
+        let before = self.outlier_detector.is_suspect();
+        self.outlier_detector
+            .on_outcome(false, self.pool_failure_share, now);
+        let after = self.outlier_detector.is_suspect();
+        (after != before).then_some(after)
+    }
+
     /// Whether requests are in flight and no byte arrived for longer than the silence timeout.
     pub fn is_silent(&self, now: Time) -> bool {
         self.load.in_flight > 0 && now.since(self.silence_timer_start) > SILENCE_TIMEOUT
@@ -352,13 +429,26 @@
     }
 
     /// Health of the back end for a request, compared with the other candidates.
-    pub(crate) fn health(&self, now: Time, pool: &PoolMedians, request: Retryability) -> Health {
+    pub(crate) fn health(&self, now: Time, pool: &PoolMedians, terms: &TrialTerms) -> Health {
+        let health = self.health_by_outcomes(now, pool, terms);
+        if health != Health::Good && self.is_trial_due(terms.mean_interval_at_bound(), now) {
+            return Health::TrialDue;
+        }
+        health
+    }
+
+    /// Whether the latest outcome known of the back end is a success.
+    fn has_recovered(&self) -> bool {
+        self.last_failure < self.last_success
+    }
+
+    fn health_by_outcomes(&self, now: Time, pool: &PoolMedians, terms: &TrialTerms) -> Health {
         let ejected = self.ejected_until.is_some_and(|until| now < until);
         if ejected || self.is_silent(now) {
             return Health::Ejected;
         }
-        let failing = self.outlier_detector.is_suspect() && !self.allows_trial(now, request);
-        if failing || (pool.trusts_suspect_reports && self.is_reported_suspect(now)) {
+        let failing = self.outlier_detector.is_suspect() && !self.allows_trial(now, terms);
+        if failing || (pool.trusts_suspect_reports && self.is_reported_for(terms, now)) {
             return Health::Degraded;
         }
         if self.is_slow(pool) && now.since(self.last_used) <= SLOW_RESPONSES_TTL {
@@ -368,9 +458,41 @@
     }
 
     /// Whether a suspect back end may get this request as a trial: only while no other request of
-    /// this router is in flight there.
-    fn allows_trial(&self, now: Time, request: Retryability) -> bool {
-        self.load.in_flight == 0 && self.outlier_detector.allows_trial(now, request)
+    /// this router waits for its response there.
+    fn allows_trial(&self, now: Time, terms: &TrialTerms) -> bool {
+        !self.awaits_response() && self.outlier_detector.allows_trial(now, *terms)
+    }
+
+    /// Whether the latest request to the back end waits for its response and nothing has arrived
+    /// since. Earlier ones that the back end dropped may stay unanswered until they time out.
+    fn awaits_response(&self) -> bool {
+        self.unanswered > 0 && self.last_used >= self.last_byte
+    }
+
+    /// Whether a trial is due while all good members are at their load bound: at once after a
+    /// success, otherwise a random time after the last request and the last failure.
+    fn is_trial_due(&self, mean_interval: Option<Duration>, now: Time) -> bool {
+        let is_silent = self.is_silent(now);
+        if self.awaits_response() && !is_silent {
+            return false;
+        }
+        // Where only peers report failures, they may know more than this router's last success.
+        let knows_failures = self.is_suspect() || mean_interval.is_some();
+        if self.has_recovered() && knows_failures && !is_silent {
+            return true;
+        }
+        let last = self.last_used.max(self.last_failure.unwrap_or_default());
+        mean_interval
+            .is_some_and(|mean| now.since(last) >= mean.mul_f64(self.trial_delay_factor(last)))
+    }
+
+    /// Delay of the next trial after an attempt at `last`, in mean delays: exponentially distributed,
+    /// so that the trials of all routers together come at a constant rate from the start.
+    fn trial_delay_factor(&self, last: Time) -> f64 {
+        let draw = xxh3_64_with_seed(&last.0.to_le_bytes(), self.id_hash);
+        -((draw >> 11) as f64 / (1_u64 << 53) as f64)
+            .max(f64::MIN_POSITIVE)
+            .ln()
     }
 
     fn is_slow(&self, pool: &PoolMedians) -> bool {
--- a/crates/stacktack-core/src/direct/back_ends/health.rs
+++ b/crates/stacktack-core/src/direct/back_ends/health.rs
@@ -9,6 +9,9 @@
 pub enum Health {
     /// No sign of a fault.
     Good,
+    /// Degraded or ejected, but due for a trial: it may take a request that finds all good members
+    /// at their load bound.
+    TrialDue,
     /// Clearly more failures or a clearly longer time to the first byte than the pool, or
     /// reported as suspect by peers.
     Degraded,
@@ -21,6 +24,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Health::Good => "good",
+            Health::TrialDue => "trial_due",
             Health::Degraded => "degraded",
             Health::Ejected => "ejected",
         }
--- a/crates/stacktack-core/src/direct/back_ends/mod.rs
+++ b/crates/stacktack-core/src/direct/back_ends/mod.rs
@@ -32,9 +32,11 @@
     BackEndEntry, DirectoryChange, DirectoryDelta, InstanceId, RemovedEntry,
 };
 use crate::direct::back_ends::health::{Health, PoolMedians};
-use crate::direct::back_ends::outlier_detector::Retryability;
+use crate::direct::back_ends::outlier_detector::TrialTerms;
 use crate::direct::back_ends::slow_start::{KnownFleet, SlowStart};
-use crate::direct::peers::peer_gossip::{LoadGossip, ShortId, MAX_REPORTED_LOADS_PER_DATAGRAM};
+use crate::direct::peers::peer_gossip::{
+    LoadGossip, RecoveryGossip, ShortId, MAX_REPORTED_LOADS_PER_DATAGRAM,
+};
 use crate::time::Time;
 
 /// Maximum number of removed entries that are kept, to answer peers that ask for the changes since
@@ -273,7 +275,7 @@
     pub fn assess_candidates(
         &mut self,
         now: Time,
-        request: Retryability,
+        terms: impl Into<TrialTerms>,
         matches: impl Fn(&BackEndEntry) -> bool,
     ) -> Vec<(&BackEnd, Health)> {
         let members = self
@@ -281,7 +283,7 @@
             .values_mut()
             .filter(|member| !member.is_leaving() && matches(&member.entry))
             .collect();
-        assess(members, now, request)
+        assess(members, now, terms.into())
     }
 
     /// Recently reported loads of back ends, newest first, limited to one datagram.
@@ -340,26 +342,55 @@
         }
     }
 
-    /// Short ids of at most `limit` back ends that this router suspects, for gossip. Silent back
-    /// ends are not included: where many requests wait, a back end is silent only at times, and a
-    /// fleet that avoids it all at once overloads the back ends that get its requests instead.
-    pub fn suspects(&self, limit: usize, now: Time) -> Vec<ShortId> {
-        self.members
-            .values()
-            .filter(|member| member.has_recent_failure(now))
-            .map(|member| ShortId::of(member.id_hash))
-            .take(limit)
+    /// Latest successes at back ends that routers suspected until then, at most `limit`, newest first.
+    pub fn recoveries(&self, limit: usize, now: Time) -> Vec<RecoveryGossip> {
+        let recovered = self.members.values().filter_map(|member| {
+            let at = member.recovery(now)?;
+            Some((at, ShortId::of(member.id_hash)))
+        });
+        let mut newest: Vec<(Time, ShortId)> = recovered.collect();
+        newest.sort_unstable_by_key(|(at, back_end)| (std::cmp::Reverse(*at), *back_end));
+        newest.truncate(limit);
+        let gossip = newest.into_iter();
+        gossip
+            .filter_map(|(at, back_end)| RecoveryGossip::new(back_end, at, now))
             .collect()
     }
+
+    /// Merges successes that a peer tells. Returns the ids of the back ends that are not suspect any
+    /// more because of them.
+    pub fn merge_recoveries(&mut self, recoveries: &[RecoveryGossip], now: Time) -> Vec<String> {
+        let mut cleared = Vec::new();
+        for member in self.members.values_mut() {
+            let short = ShortId::of(member.id_hash);
+            let told = recoveries.iter().find(|told| told.back_end == short);
+            let change = told.and_then(|told| member.on_peer_success(told.served_at(now), now));
+            if change == Some(false) {
+                cleared.push(member.entry.id.clone());
+            }
+        }
+        cleared
+    }
+
+    /// Short ids of at most `limit` back ends that this router suspects, for gossip, those that failed
+    /// last first. Silent back ends are not included: where many requests wait, a back end is silent
+    /// only at times, and a fleet that avoids it all at once overloads the back ends that get its
+    /// requests instead.
+    pub fn suspects(&self, limit: usize, now: Time) -> Vec<ShortId> {
+        let suspects = self.members.values().filter_map(|member| {
+            let failed_at = member.recent_failure(now)?;
+            Some((std::cmp::Reverse(failed_at), ShortId::of(member.id_hash)))
+        });
+        let mut newest: Vec<_> = suspects.collect();
+        newest.sort_unstable();
+        newest.truncate(limit);
+        newest.into_iter().map(|(_, back_end)| back_end).collect()
+    }
 }
 
 /// Returns the candidates of a request, each with its health for it, and stores their median
 /// failure share in each.
-fn assess(
-    mut members: Vec<&mut BackEnd>,
-    now: Time,
-    request: Retryability,
-) -> Vec<(&BackEnd, Health)> {
+fn assess(mut members: Vec<&mut BackEnd>, now: Time, terms: TrialTerms) -> Vec<(&BackEnd, Health)> {
     let medians = PoolMedians::of(members.iter().map(|member| member.stats(now)));
     for member in &mut members {
         member.pool_failure_share = medians.failure_share;
@@ -367,7 +398,7 @@
     members
         .into_iter()
         .map(|member| {
-            let health = member.health(now, &medians, request);
+            let health = member.health(now, &medians, &terms);
             (&*member, health)
         })
         .collect()
--- a/crates/stacktack-core/src/direct/back_ends/outlier_detector.rs
+++ b/crates/stacktack-core/src/direct/back_ends/outlier_detector.rs
@@ -39,10 +39,18 @@
 /// Maximum pause during which a suspect back end is avoided.
 const MAX_PAUSE: Duration = Duration::from_secs(4);
 
-/// Time added to the pause for requests that cannot be retried: they avoid a suspect back end that
-/// much longer.
+/// Mean interval between the trials of one back end, by all routers together, while all good back
+/// ends are at their load bound.
+const FLEET_TRIAL_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Minimum time added to the pause for requests that cannot be retried: they avoid a suspect back
+/// end that much longer.
 const NOT_RETRYABLE_EXTRA_PAUSE: Duration = Duration::from_secs(3);
 
+/// The same for each router of the fleet: a router of a large fleet sends to each back end so rarely
+/// that a retryable request would often come later.
+const NOT_RETRYABLE_EXTRA_PAUSE_PER_ROUTER: Duration = Duration::from_millis(750);
+
 /// Whether a request can be retried after a failure.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Retryability {
@@ -52,6 +60,50 @@
     NotRetryable,
 }
 
+/// What a request allows a router to find out about back ends in bad health.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TrialTerms {
+    /// Whether the request can be retried after a failure.
+    pub retryability: Retryability,
+    /// Number of routers that send to the pool, this one included.
+    pub routers: usize,
+    /// Whether a permit for a retry can be reserved for the request, so that it may be a trial while
+    /// all good back ends are at their load bound.
+    pub may_try_at_bound: bool,
+}
+
+impl TrialTerms {
+    /// Mean interval at which this router tries a back end while all good ones are at their bound;
+    /// `None` if the request may not be used for this.
+    pub(crate) fn mean_interval_at_bound(&self) -> Option<Duration> {
+        let routers = u32::try_from(self.routers).unwrap_or(u32::MAX);
+        self.may_try_at_bound
+            .then(|| FLEET_TRIAL_INTERVAL.saturating_mul(routers))
+    }
+
+    /// Time added to the pause of a suspect back end for the request.
+    pub(crate) fn extra_pause(&self) -> Duration {
+        match self.retryability {
+            Retryability::Retryable => Duration::ZERO,
+            Retryability::NotRetryable => {
+                let routers = u32::try_from(self.routers).unwrap_or(u32::MAX);
+                let by_fleet = NOT_RETRYABLE_EXTRA_PAUSE_PER_ROUTER.saturating_mul(routers);
+                by_fleet.max(NOT_RETRYABLE_EXTRA_PAUSE)
+            }
+        }
+    }
+}
+
+impl From<Retryability> for TrialTerms {
+    fn from(retryability: Retryability) -> Self {
+        TrialTerms {
+            retryability,
+            routers: 1,
+            may_try_at_bound: false,
+        }
+    }
+}
+
 /// Sequential test over the outcomes of one back end.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct OutlierDetector {
@@ -87,6 +139,8 @@
         } else if failed {
             self.pause_until = now + exponential_delay(MIN_PAUSE, self.suspect_failures, MAX_PAUSE);
             self.suspect_failures += 1;
+        } else {
+            self.pause_until = now;
         }
     }
 
@@ -101,13 +155,9 @@
         self.suspect_since
     }
 
-    /// Whether a suspect back end may get this request as a trial: a retryable one after the
-    /// pause, any other one `NOT_RETRYABLE_EXTRA_PAUSE` later.
-    pub fn allows_trial(&self, now: Time, request: Retryability) -> bool {
-        let extra_pause = match request {
-            Retryability::Retryable => Duration::ZERO,
-            Retryability::NotRetryable => NOT_RETRYABLE_EXTRA_PAUSE,
-        };
-        now >= self.pause_until + extra_pause
+    /// Whether a suspect back end may get this request as a trial: a retryable one after the pause,
+    /// any other one some time later.
+    pub fn allows_trial(&self, now: Time, terms: impl Into<TrialTerms>) -> bool {
+        now >= self.pause_until + terms.into().extra_pause()
     }
 }
--- a/crates/stacktack-core/src/direct/choice/first_event.rs
+++ b/crates/stacktack-core/src/direct/choice/first_event.rs
@@ -15,9 +15,9 @@
 
 use std::time::Duration;
 
-use crate::direct::back_ends::health::Health;
 use crate::direct::choice::select::{
     rendezvous_score, select_by_affinity, spill_bound, DirectCandidate, SelectBounds, Selection,
+    Tier,
 };
 
 /// Share of the time that a caller has left within which the first event at the home is predicted
@@ -243,23 +243,20 @@
     }
 }
 
-/// Candidates of the best health among the eligible ones that are not full and are below the spill
-/// bound.
+/// Eligible candidates of the tier that are not full and are below the spill bound.
 fn ranked_below_bounds<'a>(
     candidates: &'a [DirectCandidate],
     engines: &'a [EngineWork],
     part: u64,
     bounds: &SelectBounds,
 ) -> Vec<Ranked<'a>> {
-    let eligible = candidates.iter().filter(|candidate| candidate.eligible);
-    let best_health = eligible.map(|candidate| candidate.health).min();
-    let best_health = best_health.unwrap_or(Health::Good);
     let bound = spill_bound(candidates, bounds);
+    let tier = Tier::of(candidates, bound);
     let pairs = candidates.iter().zip(engines);
     pairs
         .filter(|(candidate, _)| {
             candidate.eligible
-                && candidate.health == best_health
+                && tier.includes(candidate)
                 && candidate.load < candidate.limit
                 && candidate.load < bound
         })
--- a/crates/stacktack-core/src/direct/choice/pool_candidates.rs
+++ b/crates/stacktack-core/src/direct/choice/pool_candidates.rs
@@ -4,7 +4,7 @@
 use crate::direct::admission::SlotLimit;
 use crate::direct::back_ends::back_end::BackEnd;
 use crate::direct::back_ends::health::Health;
-use crate::direct::choice::select::{spill_bound, DirectCandidate, SelectBounds};
+use crate::direct::choice::select::{spill_bound, DirectCandidate, SelectBounds, Tier};
 use crate::time::Time;
 
 /// Place of a member in its pool.
@@ -88,11 +88,9 @@
 
     /// Load of the pool over its eligible members of the best health; `None` if not known.
     pub fn pool_load(&self) -> Option<PoolLoad> {
-        let eligible = self.list.iter().filter(|candidate| candidate.eligible);
-        let best_health = eligible.map(|candidate| candidate.health).min()?;
-        let is_best = |(candidate, _): &(&DirectCandidate, _)| {
-            candidate.eligible && candidate.health == best_health
-        };
+        let tier = Tier::preferred(&self.list);
+        let is_best =
+            |(candidate, _): &(&DirectCandidate, _)| candidate.eligible && tier.includes(candidate);
         let pairs = self.list.iter().zip(&self.reports).filter(is_best);
         let reports: Vec<LoadReport> = pairs.map(|(_, report)| *report).collect();
         PoolLoad::from_reports(&reports)
@@ -127,10 +125,9 @@
     /// that of each other member to its residual load, and each limit to what follows from the load
     /// of the pool.
     pub fn apply_pool_load(&mut self, pool: &PoolLoad, hold_seconds: f64) {
-        let eligible = self.list.iter().filter(|candidate| candidate.eligible);
-        let best_health = eligible.map(|candidate| candidate.health).min();
+        let tier = Tier::preferred(&self.list);
         for (candidate, report) in self.list.iter_mut().zip(&self.reports) {
-            candidate.load = if candidate.eligible && Some(candidate.health) == best_health {
+            candidate.load = if candidate.eligible && tier.includes(candidate) {
                 pool.expected_load(report, hold_seconds)
             } else {
                 report.residual_load(hold_seconds)
--- a/crates/stacktack-core/src/direct/choice/select.rs
+++ b/crates/stacktack-core/src/direct/choice/select.rs
@@ -126,6 +126,57 @@
     }
 }
 
+/// The candidates among which a request is placed: those of the best health, or those that are due
+/// for a trial while none of the best health has room below the spill bound. Every choice takes its
+/// candidates from here, so that no preference outranks the load bound.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Tier {
+    /// In good health.
+    Good,
+    /// Due for a trial.
+    TrialDue,
+    /// Degraded or due for a trial: no candidate is in good health.
+    Degraded,
+    /// All; every candidate is ejected.
+    Ejected,
+}
+
+impl Tier {
+    /// Tier of the best health, whatever the loads.
+    pub(super) fn preferred(candidates: &[DirectCandidate]) -> Self {
+        let best = eligible(candidates).map(|candidate| candidate.health).min();
+        match best.unwrap_or(Health::Good) {
+            Health::Good => Tier::Good,
+            Health::TrialDue | Health::Degraded => Tier::Degraded,
+            Health::Ejected => Tier::Ejected,
+        }
+    }
+
+    /// Tier that a request is placed in, with this spill bound.
+    pub(super) fn of(candidates: &[DirectCandidate], bound: f64) -> Self {
+        let has_room = |tier: Tier| {
+            eligible(candidates).any(|candidate| {
+                tier.includes(candidate) && candidate.has_free_capacity() && candidate.load < bound
+            })
+        };
+        let preferred = Tier::preferred(candidates);
+        if preferred == Tier::Good && !has_room(Tier::Good) && has_room(Tier::TrialDue) {
+            return Tier::TrialDue;
+        }
+        preferred
+    }
+
+    /// Whether a candidate belongs to the tier; whether it is eligible is not considered.
+    pub(super) fn includes(self, candidate: &DirectCandidate) -> bool {
+        match self {
+            Tier::Good => candidate.health == Health::Good,
+            Tier::TrialDue => candidate.health == Health::TrialDue,
+            Tier::Degraded => candidate.health <= Health::Degraded,
+            Tier::Ejected => true,
+        }
+    }
+}
+
 impl DirectCandidate {
     /// Whether the candidate is not full for this request.
     fn has_free_capacity(&self) -> bool {
@@ -176,13 +227,13 @@
     order[..replicas].rotate_left(bounds.first_replica.min(replicas));
     let start_index = order.first().map(|(_, candidate)| candidate.index);
     let bound = bound_at(mean, eligible_mean, bounds);
-    let best = best_health(eligible(candidates));
+    let tier = Tier::of(candidates, bound);
     let ineligible = candidates.len() - order.len();
     let many_ineligible = ineligible as f64 >= MIN_INELIGIBLE_SHARE * candidates.len() as f64;
-    let rank = match first_rank_below(&order, best, bound, bounds.max_full_candidates) {
-        Some(rank) if rank > 0 && many_ineligible => least_loaded_near(&order, rank, best),
+    let rank = match first_rank_below(&order, tier, bound, bounds.max_full_candidates) {
+        Some(rank) if rank > 0 && many_ineligible => least_loaded_near(&order, rank, tier),
         Some(rank) => rank,
-        None => rank_in_full_tier(&order, best, bounds)?,
+        None => rank_in_full_tier(&order, tier, bounds)?,
     };
     let chosen = order[rank].1;
     Some(Selection {
@@ -213,19 +264,19 @@
     bound.max(MIN_SPILL_FACTOR * eligible_mean + MIN_SPILL_SLACK)
 }
 
-/// Rank of the first candidate with the best health that is below the spill bound and not full.
+/// Rank of the first candidate of a tier that is below the spill bound and not full.
 /// After `max_full_candidates` full candidates, the rank of the first of these. `None` if neither
 /// is found.
 fn first_rank_below(
     order: &[(u64, &DirectCandidate)],
-    best: Health,
+    tier: Tier,
     bound: f64,
     max_full_candidates: usize,
 ) -> Option<usize> {
     let mut full = 0;
     let mut first_full = None;
     for (rank, (_, candidate)) in order.iter().enumerate() {
-        if candidate.health != best {
+        if !tier.includes(candidate) {
             continue;
         }
         if !candidate.has_free_capacity() {
@@ -248,7 +299,7 @@
     bounds: &SelectBounds,
 ) -> Option<Selection> {
     let mean = mean_load(candidates.iter())?;
-    let best = best_health(eligible(candidates));
+    let tier = Tier::of(candidates, spill_bound(candidates, bounds));
     let cost = |candidate: &DirectCandidate| {
         let zone_cost = if candidate.same_zone {
             0.0
@@ -258,11 +309,11 @@
         candidate.load + zone_cost
     };
     let with_free_capacity =
-        |candidate: &&DirectCandidate| candidate.health == best && candidate.has_free_capacity();
+        |candidate: &&DirectCandidate| tier.includes(candidate) && candidate.has_free_capacity();
     let some_has_free_capacity =
         eligible(candidates).any(|candidate| with_free_capacity(&candidate));
     let chosen = eligible(candidates)
-        .filter(|candidate| candidate.health == best)
+        .filter(|candidate| tier.includes(candidate))
         .filter(|candidate| !some_has_free_capacity || with_free_capacity(candidate))
         .min_by(|a, b| {
             cost(a).total_cmp(&cost(b)).then_with(|| {
@@ -320,42 +371,35 @@
     (count > 0).then(|| sum / f64::from(count))
 }
 
-fn best_health<'a>(candidates: impl Iterator<Item = &'a DirectCandidate>) -> Health {
-    candidates
-        .map(|candidate| candidate.health)
-        .min()
-        .unwrap_or(Health::Good)
-}
-
-/// Rank of the least loaded candidate that has the best health and is not full, among the
+/// Rank of the least loaded candidate of a tier that is not full, among the
 /// [`SPILL_CANDIDATES`] candidates from `rank` on; `rank` if there is none.
-fn least_loaded_near(order: &[(u64, &DirectCandidate)], rank: usize, best: Health) -> usize {
+fn least_loaded_near(order: &[(u64, &DirectCandidate)], rank: usize, tier: Tier) -> usize {
     let near = order.iter().enumerate().skip(rank).take(SPILL_CANDIDATES);
-    near.filter(|(_, (_, candidate))| candidate.health == best && candidate.has_free_capacity())
+    near.filter(|(_, (_, candidate))| tier.includes(candidate) && candidate.has_free_capacity())
         .min_by(|a, b| a.1 .1.load.total_cmp(&b.1 .1.load))
         .map_or(rank, |(rank, _)| rank)
 }
 
-/// Rank of a candidate with the best health, where none of these is below the spill bound of the pool:
-/// the first that is below the bound that follows from their load alone, or the least loaded.
+/// Rank of a candidate of a tier in which none is below the spill bound of the pool: the first that is
+/// below the bound that follows from the load of the tier alone, or the least loaded.
 ///
 /// With the least loaded one, all routers would crowd the candidate with the lowest report.
 fn rank_in_full_tier(
     order: &[(u64, &DirectCandidate)],
-    best: Health,
+    tier: Tier,
     bounds: &SelectBounds,
 ) -> Option<usize> {
     let of_tier = order.iter().map(|(_, candidate)| *candidate);
-    let mean = mean_load(of_tier.filter(|candidate| candidate.health == best))?;
+    let mean = mean_load(of_tier.filter(|candidate| tier.includes(candidate)))?;
     let bound = bound_at(mean, mean, bounds);
-    first_rank_below(order, best, bound, usize::MAX).or_else(|| least_loaded_rank(order, best))
+    first_rank_below(order, tier, bound, usize::MAX).or_else(|| least_loaded_rank(order, tier))
 }
 
-fn least_loaded_rank(order: &[(u64, &DirectCandidate)], best: Health) -> Option<usize> {
+fn least_loaded_rank(order: &[(u64, &DirectCandidate)], tier: Tier) -> Option<usize> {
     order
         .iter()
         .enumerate()
-        .filter(|(_, (_, candidate))| candidate.health == best)
+        .filter(|(_, (_, candidate))| tier.includes(candidate))
         .min_by(|a, b| a.1 .1.load.total_cmp(&b.1 .1.load))
         .map(|(rank, _)| rank)
 }
--- a/crates/stacktack-core/src/direct/peers/peer_gossip.rs
+++ b/crates/stacktack-core/src/direct/peers/peer_gossip.rs
@@ -64,6 +64,31 @@
     }
 }
 
+/// A success at a back end that routers suspected, as routers relay it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RecoveryGossip {
+    /// Back end that served a request.
+    pub back_end: ShortId,
+    /// Time since the success, in units of [`AGE_UNIT`], rounded up.
+    age: u8,
+}
+
+impl RecoveryGossip {
+    /// Encodes a success at time `at`; `None` if its age exceeds the wire format (5.12 s or more).
+    pub fn new(back_end: ShortId, at: Time, now: Time) -> Option<Self> {
+        let age = now.since(at).as_millis().div_ceil(AGE_UNIT.as_millis());
+        Some(RecoveryGossip {
+            back_end,
+            age: u8::try_from(age).ok()?,
+        })
+    }
+
+    /// When the back end served the request, if the datagram arrived at `now`.
+    pub fn served_at(&self, now: Time) -> Time {
+        now - AGE_UNIT * u32::from(self.age)
+    }
+}
+
 /// Short form of a zone's name on the wire.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ZoneHash(u16);
--- a/crates/stacktack-core/src/direct/request/budget.rs
+++ b/crates/stacktack-core/src/direct/request/budget.rs
@@ -36,6 +36,14 @@
 /// retried instead of 0.89.
 const EARNED_SHARE: f64 = 0.5;
 
+/// Share of the earned permits that trials of back ends in bad health may use. The others are left
+/// for requests that fail without being a trial.
+const TRIAL_SHARE: f64 = 0.75;
+
+/// A permit that is reserved for the retry of a trial.
+#[derive(Debug)]
+pub struct ReservedPermit(Time);
+
 /// The retry budget of one pool at one router.
 #[derive(Clone, Debug)]
 pub struct PoolRetryBudget {
@@ -44,6 +52,8 @@
     fraction: f64,
     /// When each unspent permit was earned, the oldest first.
     earned: VecDeque<Time>,
+    /// Permits that trials of back ends in bad health may still reserve, with a fraction.
+    trial_credit: f64,
 }
 
 impl PoolRetryBudget {
@@ -55,6 +65,7 @@
             bound,
             fraction,
             earned: VecDeque::new(),
+            trial_credit: 0.0,
         }
     }
 
@@ -66,7 +77,10 @@
     /// Counts a request, which earns a fraction of a permit.
     pub fn count_request(&mut self, now: Time) {
         self.expire(now);
-        self.fraction += self.bound.ratio * EARNED_SHARE;
+        let earned = self.bound.ratio * EARNED_SHARE;
+        self.fraction += earned;
+        let max_credit = self.earned.len() as f64 + 1.0;
+        self.trial_credit = (self.trial_credit + earned * TRIAL_SHARE).min(max_credit);
         while self.fraction >= 1.0 {
             self.fraction -= 1.0;
             self.earned.push_back(now);
@@ -79,6 +93,27 @@
         self.earned.pop_front().is_some()
     }
 
+    /// Whether a trial may reserve a permit.
+    pub fn has_trial_permit(&mut self, now: Time) -> bool {
+        self.expire(now);
+        self.trial_credit >= 1.0 && !self.earned.is_empty()
+    }
+
+    /// Reserves the permit for a retry of a trial, should it fail; `None` if none is available.
+    pub fn reserve_for_trial(&mut self, now: Time) -> Option<ReservedPermit> {
+        if !self.has_trial_permit(now) {
+            return None;
+        }
+        self.trial_credit -= 1.0;
+        self.earned.pop_front().map(ReservedPermit)
+    }
+
+    /// Returns the permit of a trial that needs no retry.
+    pub fn give_back(&mut self, permit: ReservedPermit) {
+        self.trial_credit += 1.0;
+        self.earned.push_front(permit.0);
+    }
+
     /// Number of available permits. Expired ones count until the next call of
     /// [`count_request`](Self::count_request) or [`take`](Self::take).
     pub fn available(&self) -> usize {
--- a/crates/stacktack-core/tests/direct.rs
+++ b/crates/stacktack-core/tests/direct.rs
@@ -387,3 +387,22 @@
         .collect();
     assert_eq!(chosen.len(), 12);
 }
+
+#[test]
+fn a_member_due_for_a_trial_takes_what_finds_all_good_members_at_the_bound() {
+    let due = DirectCandidate {
+        health: Health::TrialDue,
+        ..candidate(1, 0.0)
+    };
+    let avoided = DirectCandidate {
+        health: Health::Degraded,
+        ..candidate(2, 0.0)
+    };
+    let bounds = SelectBounds::for_load_cap(2.0);
+    for (load, expected) in [(2.0, 0), (20.0, 1)] {
+        let candidates = [candidate(0, load), due, avoided];
+        let by_affinity = select_by_affinity(&candidates, 7, &bounds).expect("chosen");
+        let by_load = select_by_load(&candidates, 7, &bounds).expect("chosen");
+        assert_eq!([by_affinity.index, by_load.index], [expected; 2]);
+    }
+}
--- a/crates/stacktack-core/tests/outlier_detection.rs
+++ b/crates/stacktack-core/tests/outlier_detection.rs
@@ -9,6 +9,7 @@
 use stacktack_core::direct::back_ends::health::Health;
 use stacktack_core::direct::back_ends::outlier_detector::{OutlierDetector, Retryability};
 use stacktack_core::direct::back_ends::BackEnds;
+use stacktack_core::direct::peers::peer_gossip::{RecoveryGossip, ShortId};
 use stacktack_core::time::Time;
 
 /// Failure share of a pool where failures are rare.
@@ -204,3 +205,35 @@
     }
     assert!(!detector.is_suspect());
 }
+
+#[test]
+fn a_success_that_a_peer_tells_ends_the_pause_of_a_suspect() {
+    let mut all = pool(6);
+    let member = all.get_mut("b0").expect("known");
+    member.on_outcome(true, at(0));
+    let short = ShortId::of(member.id_hash);
+    let told = RecoveryGossip::new(short, at(400), at(500)).expect("recent");
+    let retryability = Retryability::Retryable;
+    assert_eq!(
+        health(&mut all, "b0", at(500), retryability),
+        Health::Degraded
+    );
+    all.merge_recoveries(&[told], at(500));
+    assert_eq!(health(&mut all, "b0", at(500), retryability), Health::Good);
+    let passed_on = all.recoveries(9, at(520));
+    assert_eq!(passed_on.len(), 1, "told on to other peers");
+}
+
+#[test]
+fn a_success_before_the_last_failure_is_no_recovery() {
+    let mut all = pool(6);
+    let member = all.get_mut("b0").expect("known");
+    member.on_outcome(true, at(1000));
+    let told = RecoveryGossip::new(ShortId::of(member.id_hash), at(900), at(1000));
+    all.merge_recoveries(&[told.expect("recent")], at(1000));
+    assert!(all.recoveries(9, at(1000)).is_empty());
+    assert_eq!(
+        health(&mut all, "b0", at(1100), Retryability::Retryable),
+        Health::Degraded
+    );
+}
--- a/crates/stacktack-core/tests/retry_budget.rs
+++ b/crates/stacktack-core/tests/retry_budget.rs
@@ -331,3 +331,25 @@
         assert!(share >= min_share, "{routers} routers: {share}");
     }
 }
+
+#[test]
+fn trials_reserve_only_their_share_and_return_what_they_do_not_need() {
+    let bound = BudgetBound {
+        ratio: 0.2,
+        extra: 0.0,
+        window: Duration::from_secs(10),
+    };
+    let now = Time(1_000_000);
+    let mut budget = PoolRetryBudget::new(bound, 0.0);
+    for _ in 0..81 {
+        budget.count_request(now);
+    }
+    assert_eq!(budget.available(), 8);
+    let reserved: Vec<_> = std::iter::from_fn(|| budget.reserve_for_trial(now)).collect();
+    assert_eq!((reserved.len(), budget.available()), (6, 2));
+    for permit in reserved {
+        budget.give_back(permit);
+    }
+    assert_eq!(budget.available(), 8);
+    assert!(budget.has_trial_permit(now));
+}
--- a/crates/stacktack-direct/src/admission.rs
+++ b/crates/stacktack-direct/src/admission.rs
@@ -177,6 +177,8 @@
         history: AttemptHistory::default(),
         attempt_in_flight: false,
         is_retry_granted: false,
+        reserved_permit: None,
+        trials: 0,
         began_at: None,
         tried: Vec::new(),
         admitted: false,
--- a/crates/stacktack-direct/src/attempt.rs
+++ b/crates/stacktack-direct/src/attempt.rs
@@ -73,6 +73,8 @@
     pub(crate) priority: u8,
     /// Whether the request runs on probation.
     pub(crate) on_probation: bool,
+    /// Whether the head of a response has arrived.
+    is_answered: bool,
     /// When the request was written, as an `Instant`: latencies of the back end then exclude
     /// suspensions of this machine.
     sent_at: Instant,
@@ -117,6 +119,7 @@
             instance,
             priority,
             on_probation: false,
+            is_answered: false,
             connection: None,
             framing: ResponseFraming::Close,
             sent_at: Instant::now(),
@@ -225,6 +228,7 @@
     /// Called when the head of the response has arrived.
     pub fn on_head(&mut self, response: &BackEndResponseHead) {
         self.request_bytes = None;
+        self.is_answered = true;
         self.idle_timeout_seconds = response.keep_alive_seconds;
         let now = self.router.now();
         let after = self.sent_at.elapsed();
@@ -238,6 +242,7 @@
         let load = response.load;
         let load = load.map(|load| load.running.saturating_add(load.waiting));
         self.with_back_end(|back_end| {
+            back_end.on_answered();
             back_end.on_bytes(now);
             // In pools that count work, a long prompt is no sign of a slow back end.
             if self.counted_send.is_none() {
@@ -423,6 +428,11 @@
                 .borrow_mut()
                 .remove(&self.back_end);
         }
-        self.with_back_end(|back_end| back_end.load.on_end(now));
+        self.with_back_end(|back_end| {
+            if !self.is_answered {
+                back_end.on_answered();
+            }
+            back_end.load.on_end(now);
+        });
     }
 }
--- a/crates/stacktack-direct/src/attempt_timeout.rs
+++ b/crates/stacktack-direct/src/attempt_timeout.rs
@@ -41,7 +41,7 @@
         let abandons = may_be_retried
             && self.has_time_for_other_attempt(progress)
             && self.has_capacity_elsewhere(progress)
-            && self.router.take_retry(&self.id, self.pool());
+            && self.take_retry_permit();
         self.is_retry_granted = abandons;
         log::info!(
             target: "attempt",
--- a/crates/stacktack-direct/src/candidates.rs
+++ b/crates/stacktack-direct/src/candidates.rs
@@ -5,7 +5,7 @@
 use stacktack_core::configuration::selector::{matches_all, Requirement};
 use stacktack_core::direct::admission::SlotLimit;
 use stacktack_core::direct::back_ends::directory::InstanceId;
-use stacktack_core::direct::back_ends::outlier_detector::Retryability;
+use stacktack_core::direct::back_ends::outlier_detector::TrialTerms;
 use stacktack_core::direct::choice::pool_candidates::{MemberPlace, PoolCandidates};
 use stacktack_core::direct::request::attempt::AttemptFailure;
 use stacktack_core::direct::rollout::VersionSelection;
@@ -65,21 +65,22 @@
         &self,
         pool: &[Requirement],
         excluded: &[String],
-        request: Retryability,
+        terms: impl Into<TrialTerms>,
         limit: Option<SlotLimit>,
         began_at: Option<&SoftwareVersion>,
     ) -> Candidates {
+        let terms = terms.into();
         if let Some(version) = began_at {
             let filter = VersionFilter::Began(version);
-            return self.candidates_for_version(filter, pool, excluded, request, limit);
+            return self.candidates_for_version(filter, pool, excluded, terms, limit);
         }
         let filter = self.version_filter(pool, excluded.is_empty());
-        let candidates = self.candidates_for_version(filter, pool, excluded, request, limit);
+        let candidates = self.candidates_for_version(filter, pool, excluded, terms, limit);
         if filter == VersionFilter::Selected(VersionSelection::New)
             && !candidates.pool.any_has_capacity()
         {
             let old = VersionFilter::Selected(VersionSelection::Old);
-            return self.candidates_for_version(old, pool, excluded, request, limit);
+            return self.candidates_for_version(old, pool, excluded, terms, limit);
         }
         candidates
     }
@@ -89,13 +90,13 @@
         filter: VersionFilter<'_>,
         pool: &[Requirement],
         excluded: &[String],
-        request: Retryability,
+        terms: TrialTerms,
         limit: Option<SlotLimit>,
     ) -> Candidates {
         let now = self.now();
         let zone_drains = self.zone_drains.borrow();
         let mut back_ends = self.back_ends.borrow_mut();
-        let members = back_ends.assess_candidates(now, request, |entry| {
+        let members = back_ends.assess_candidates(now, terms, |entry| {
             matches_all(pool, &entry.labels)
                 && !excluded.contains(&entry.id)
                 && self.matches_version_filter(entry, filter)
--- a/crates/stacktack-direct/src/choice.rs
+++ b/crates/stacktack-direct/src/choice.rs
@@ -8,7 +8,7 @@
 use stacktack_core::direct::admission::pool_load::PoolLoad;
 use stacktack_core::direct::admission::SlotLimit;
 use stacktack_core::direct::back_ends::health::Health;
-use stacktack_core::direct::back_ends::outlier_detector::Retryability;
+use stacktack_core::direct::back_ends::outlier_detector::{Retryability, TrialTerms};
 use stacktack_core::direct::choice::engine_priority::engine_priority;
 use stacktack_core::direct::choice::first_event::{
     select_by_first_event, Copying, EngineWork, FirstEventChoice, Wanted,
@@ -150,7 +150,7 @@
         let mut candidates = self.router.candidates(
             self.pool(),
             &self.tried,
-            self.retryability(),
+            self.trial_terms(),
             limit,
             self.began_at.as_deref(),
         );
@@ -291,12 +291,20 @@
         bounds.spread_over(replicas, rand::rng().random_range(0..replicas))
     }
 
-    /// Whether the request may be sent again if the next attempt fails.
-    pub(crate) fn retryability(&self) -> Retryability {
-        if self.may_retry_after_next() {
+    /// What the request may be used for to find out about back ends in bad health. Only the first send
+    /// of a request is a trial, so that its retry goes where it is likely to be served.
+    pub(crate) fn trial_terms(&self) -> TrialTerms {
+        let may_be_trial = self.tried.is_empty() && self.may_retry_after_next();
+        let permits = self.router.retry_permits(self.pool());
+        let retryability = if may_be_trial && permits.available > 0 {
             Retryability::Retryable
         } else {
             Retryability::NotRetryable
+        };
+        TrialTerms {
+            retryability,
+            routers: self.router.router_count(),
+            may_try_at_bound: may_be_trial && permits.may_reserve,
         }
     }
 
--- a/crates/stacktack-direct/src/datagram.rs
+++ b/crates/stacktack-direct/src/datagram.rs
@@ -2,11 +2,12 @@
 //!
 //! A datagram consists of gossip, quarantine records, the ages of the sender's knowledge of its
 //! sources, the latest answers of the sources and, if there are any, roll-outs, backlogs of back
-//! ends, the work that tenants ask for and the circumstances of crashes under prompt parts. Routers
+//! ends, the work that tenants ask for, the circumstances of crashes under prompt parts and
+//! successes at back ends that routers suspected. Routers
 //! of a release that does not know a later part leave it unread and do not send it.
 
 use serde::Deserialize;
-use stacktack_core::direct::peers::peer_gossip::PeerGossip;
+use stacktack_core::direct::peers::peer_gossip::{PeerGossip, RecoveryGossip};
 use stacktack_core::direct::peers::source_age::{SourceAges, SourceReads};
 use stacktack_core::direct::peers::MAX_DATAGRAM_BYTES;
 use stacktack_core::direct::quarantine::part_context::PartContext;
@@ -33,6 +34,9 @@
     pub rollouts: Vec<RolloutGossip>,
     /// Work at back ends and of tenants; empty from a release that does not send it.
     pub work: WorkGossip,
+    /// Latest successes at back ends that routers suspected; empty from a release that does not send
+    /// them.
+    pub recoveries: Vec<RecoveryGossip>,
 }
 
 /// Work at back ends and of tenants, in pools that count work.
@@ -81,8 +85,7 @@
     encode_with_work(gossip, records, ages, reads, rollouts, &no_work)
 }
 
-/// Encodes a datagram and appends roll-outs, work and the circumstances of crashes under prompt
-/// parts, if there are any. Work and circumstances are each left out if they do not fit whole.
+/// Encodes a datagram and appends roll-outs and work, if there are any.
 pub fn encode_with_work(
     gossip: &PeerGossip,
     records: &[RecordGossip],
@@ -91,6 +94,40 @@
     rollouts: &[RolloutGossip],
     work: &WorkGossip,
 ) -> Result<Vec<u8>, postcard::Error> {
+    let content = OptionalContent {
+        rollouts,
+        work,
+        recoveries: &[],
+    };
+    encode_with(gossip, records, ages, reads, &content)
+}
+
+/// Content that is appended to a datagram if there is any.
+#[derive(Clone, Copy, Debug)]
+pub struct OptionalContent<'a> {
+    /// The sender's state of roll-outs.
+    pub rollouts: &'a [RolloutGossip],
+    /// Work at back ends and of tenants.
+    pub work: &'a WorkGossip,
+    /// Latest successes at back ends that routers suspected.
+    pub recoveries: &'a [RecoveryGossip],
+}
+
+/// Encodes a datagram and appends roll-outs, work, the circumstances of crashes under prompt parts
+/// and recoveries of back ends, if there are any. All but the roll-outs are each left out if they
+/// do not fit whole.
+pub fn encode_with(
+    gossip: &PeerGossip,
+    records: &[RecordGossip],
+    ages: &SourceAges,
+    reads: &SourceReads,
+    content: &OptionalContent<'_>,
+) -> Result<Vec<u8>, postcard::Error> {
+    let OptionalContent {
+        rollouts,
+        work,
+        recoveries,
+    } = *content;
     let mut datagram = OptionalParts::new(encode(gossip, records, ages, reads)?);
     if datagram.bytes.len() == postcard::to_allocvec(gossip)?.len() {
         // Parts are read in order, so none can follow where the records were left out.
@@ -115,6 +152,11 @@
         false => postcard::to_allocvec(&contexts)?,
     };
     datagram.append(&contexts, &EMPTY_LIST);
+    let recoveries = match recoveries.is_empty() {
+        true => Vec::new(),
+        false => postcard::to_allocvec(recoveries)?,
+    };
+    datagram.append(&recoveries, &EMPTY_LIST);
     Ok(datagram.bytes)
 }
 
@@ -190,7 +232,8 @@
     let (rollouts, rest) = decode_optional_part::<Vec<RolloutGossip>>(rest)?;
     let (backlogs, rest) = decode_optional_part::<Vec<BacklogGossip>>(rest)?;
     let (tenants, rest) = decode_optional_part::<Vec<TenantWorkGossip>>(rest)?;
-    let (contexts, _) = decode_optional_part::<Vec<(u8, PartContext)>>(rest)?;
+    let (contexts, rest) = decode_optional_part::<Vec<(u8, PartContext)>>(rest)?;
+    let (recoveries, _) = decode_optional_part::<Vec<RecoveryGossip>>(rest)?;
     for (index, context) in contexts {
         if let Some(record) = records.get_mut(usize::from(index)) {
             record.part = Some(context);
@@ -203,6 +246,7 @@
         reads,
         rollouts,
         work: WorkGossip { backlogs, tenants },
+        recoveries,
     })
 }
 
--- a/crates/stacktack-direct/src/exchange.rs
+++ b/crates/stacktack-direct/src/exchange.rs
@@ -11,22 +11,25 @@
 use hyper::Response;
 use stacktack_core::configuration::selector::Requirement;
 use stacktack_core::direct::admission::contention::prediction_error::Expectation;
+use stacktack_core::direct::back_ends::health::Health;
 use stacktack_core::direct::quarantine::digest::SuspectDigest;
 use stacktack_core::direct::quarantine::record::Treatment;
 use stacktack_core::direct::quarantine::suspects::SuspectPart;
 use stacktack_core::direct::request::attempt::{AttemptFailure, AttemptHistory};
+use stacktack_core::direct::request::budget::ReservedPermit;
 use stacktack_core::direct::request::run_times::RunId;
 use stacktack_core::direct::stream_versions::software_version::SoftwareVersion;
 use stacktack_core::direct::traffic::route::{Route, RouteKind, Tenant};
 use stacktack_core::time::Time;
 
 use crate::attempt::{Attempt, AttemptOutcome, FailedResponse};
+use crate::choice::Choice;
 use crate::crash_detection::CrashProbeDone;
 use crate::memory::ResponseAccount;
 use crate::ports::{CallerRequest, RefusalKind};
 use crate::request_body::RequestBody;
 use crate::response_buffering::ForwardedResponse;
-use crate::router::{Phase, Router};
+use crate::router::{pool_name, Phase, Router};
 
 /// Outcome of a request, for its log line and metrics.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -98,6 +101,10 @@
     pub(crate) attempt_in_flight: bool,
     /// Whether the retry budget granted a retry that has not been written yet.
     pub(crate) is_retry_granted: bool,
+    /// Permit for a retry, reserved while the current attempt is a trial of a back end in bad health.
+    pub(crate) reserved_permit: Option<ReservedPermit>,
+    /// Number of attempts that were trials.
+    pub(crate) trials: u32,
     /// Version of the back end that began the stream; `None` for any other request, and until the
     /// stream begins.
     pub(crate) began_at: Option<Rc<SoftwareVersion>>,
@@ -123,6 +130,7 @@
 impl Drop for Exchange {
     fn drop(&mut self) {
         self.forget_expectation();
+        self.release_reserved_permit();
         self.router
             .requests_in_flight
             .set(self.router.requests_in_flight.get() - 1);
@@ -304,14 +312,48 @@
             return false;
         }
         if !self.history.has_arrived() {
+            self.release_reserved_permit();
             return true;
         }
         if !self.is_retry_granted {
-            self.is_retry_granted = self.router.take_retry(&self.id, self.pool());
+            self.is_retry_granted = self.take_retry_permit();
         }
         self.is_retry_granted
     }
 
+    /// Takes the permit for one retry: the reserved one, or one of the budget.
+    pub(crate) fn take_retry_permit(&mut self) -> bool {
+        if self.reserved_permit.take().is_none() {
+            return self.router.take_retry(&self.id, self.pool());
+        }
+        self.router.metrics.count_retry(true);
+        log::info!(
+            target: "retry",
+            "id={} pool={} allowed=true reserved=true",
+            self.id,
+            pool_name(self.pool()),
+        );
+        true
+    }
+
+    /// Makes the attempt at a back end in bad health a trial, if a permit can be reserved for its
+    /// retry.
+    pub(crate) fn reserve_retry_permit(&mut self, choice: &Choice) {
+        let is_in_bad_health =
+            choice.health != Health::Good || self.router.suspects(&choice.back_end);
+        if is_in_bad_health && self.tried.is_empty() && self.may_retry_after_next() {
+            self.reserved_permit = self.router.reserve_for_trial(self.pool());
+            self.trials += u32::from(self.reserved_permit.is_some());
+        }
+    }
+
+    /// Returns a reserved permit that is not needed.
+    pub(crate) fn release_reserved_permit(&mut self) {
+        if let Some(permit) = self.reserved_permit.take() {
+            self.router.give_back(self.pool(), permit);
+        }
+    }
+
     /// Buffers a response until it is complete; streams are passed on at once.
     async fn buffer_response(
         &mut self,
--- a/crates/stacktack-direct/src/gossip.rs
+++ b/crates/stacktack-direct/src/gossip.rs
@@ -13,7 +13,7 @@
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
-use crate::datagram::{decode, encode_with_work, WorkGossip};
+use crate::datagram::{decode, encode_with, OptionalContent, WorkGossip};
 use crate::followers::StoreMonitor;
 use crate::router::Router;
 use crate::stream_versions::is_stream_datagram;
@@ -27,6 +27,9 @@
 /// Maximum number of suspected back ends in one datagram.
 const MAX_SUSPECTS: usize = 24;
 
+/// Maximum number of back ends in one datagram that were suspect and serve again.
+const MAX_RECOVERIES: usize = 16;
+
 /// Receives and applies datagrams from peers; never returns.
 pub async fn receive(router: Rc<Router>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
@@ -52,6 +55,7 @@
                 merge_records(&router, &datagram.records);
                 router.merge_rollout_gossip(&datagram.rollouts);
                 merge_work(&router, datagram.gossip.from, &datagram.work);
+                router.merge_recoveries(datagram.gossip.from, &datagram.recoveries);
             }
             Err(error) => log::debug!(target: "peers", "cannot decode datagram: {error}"),
         }
@@ -207,9 +211,18 @@
     let reads = router.source_reads();
     let records = router.quarantine.borrow_mut().gossip(router.now());
     let work = work_gossip(router);
+    let recoveries = router
+        .back_ends
+        .borrow()
+        .recoveries(MAX_RECOVERIES, router.now());
     for datagram in outgoing {
         let rollouts = router.rollout_gossip();
-        let bytes = encode_with_work(&datagram.gossip, &records, &ages, &reads, &rollouts, &work);
+        let parts = OptionalContent {
+            rollouts: &rollouts,
+            work: &work,
+            recoveries: &recoveries,
+        };
+        let bytes = encode_with(&datagram.gossip, &records, &ages, &reads, &parts);
         let bytes = match bytes {
             Ok(bytes) => bytes,
             Err(error) => {
--- a/crates/stacktack-direct/src/pool_admission.rs
+++ b/crates/stacktack-direct/src/pool_admission.rs
@@ -50,7 +50,8 @@
         &self,
         apply: impl FnOnce(&mut PoolAdmission, &AdmissionRequest<'_>) -> T,
     ) -> T {
-        self.with_admission_as(self.history.sends > 0, apply)
+        // The retry of a trial takes the place that the request would have had without the trial.
+        self.with_admission_as(self.history.sends > self.trials, apply)
     }
 
     fn with_admission_as<T>(
--- a/crates/stacktack-direct/src/quarantine.rs
+++ b/crates/stacktack-direct/src/quarantine.rs
@@ -233,7 +233,7 @@
         let router = &self.router;
         // Includes back ends that were tried: the digest selects among all of the pool.
         let began_at = self.began_at.as_deref();
-        let candidates = router.candidates(self.pool(), &[], self.retryability(), None, began_at);
+        let candidates = router.candidates(self.pool(), &[], self.trial_terms(), None, began_at);
         let mean = candidates.pool.mean_load();
         let max_watched_load = WATCHED_LOAD_FACTOR * mean + WATCHED_SLACK_REQUESTS;
         let chosen = select_for_probation(&candidates.pool.list, suspect, |candidate| {
--- a/crates/stacktack-direct/src/router.rs
+++ b/crates/stacktack-direct/src/router.rs
@@ -13,18 +13,19 @@
 use stacktack_core::direct::admission::contention::Contention;
 use stacktack_core::direct::admission::PoolAdmission;
 use stacktack_core::direct::back_ends::announcement::{Announcement, ReturnDelay};
+use stacktack_core::direct::back_ends::back_end::BackEnd;
 use stacktack_core::direct::back_ends::directory::InstanceId;
 use stacktack_core::direct::back_ends::slow_start::KnownFleet;
 use stacktack_core::direct::back_ends::zone_drain::ZoneDrains;
 use stacktack_core::direct::back_ends::BackEnds;
 use stacktack_core::direct::choice::part_shares::PartShares;
 use stacktack_core::direct::choice::prefix_locations::PrefixLocations;
-use stacktack_core::direct::peers::peer_gossip::{ShortId, ZoneHash};
+use stacktack_core::direct::peers::peer_gossip::{RecoveryGossip, ShortId, ZoneHash};
 use stacktack_core::direct::peers::snapshot_transfers::SnapshotTransfers;
 use stacktack_core::direct::peers::Peers;
 use stacktack_core::direct::quarantine::interrupted_runs::InterruptedRuns;
 use stacktack_core::direct::quarantine::Quarantine;
-use stacktack_core::direct::request::budget::PoolRetryBudget;
+use stacktack_core::direct::request::budget::{PoolRetryBudget, ReservedPermit};
 use stacktack_core::direct::request::planned_stop::PlannedStop;
 use stacktack_core::direct::request::run_times::RunTimes;
 use stacktack_core::direct::rollout::Rollouts;
@@ -454,6 +455,27 @@
         version.unwrap_or("-").to_owned()
     }
 
+    /// Whether this router suspects a back end because of its own recent outcomes.
+    pub(crate) fn suspects(&self, back_end: &str) -> bool {
+        let back_ends = self.back_ends.borrow();
+        back_ends.get(back_end).is_some_and(BackEnd::is_suspect)
+    }
+
+    /// Merges successes that a peer tells of back ends that routers suspected.
+    pub(crate) fn merge_recoveries(&self, peer: SocketAddr, recoveries: &[RecoveryGossip]) {
+        if recoveries.is_empty() {
+            return;
+        }
+        let now = self.now();
+        let cleared = self
+            .back_ends
+            .borrow_mut()
+            .merge_recoveries(recoveries, now);
+        for back_end in cleared {
+            log::info!(target: "belief", "back_end={back_end} suspect=false cause=peers last={peer}");
+        }
+    }
+
     /// Records which back ends a peer suspects.
     pub fn apply_suspect_reports(&self, peer: SocketAddr, suspects: &[ShortId]) {
         let now = self.now();
@@ -535,6 +557,26 @@
         allowed
     }
 
+    /// Permits of the retry budget of a pool.
+    pub(crate) fn retry_permits(&self, pool: &[Requirement]) -> RetryPermits {
+        let now = self.now();
+        self.with_budget(pool, |budget| RetryPermits {
+            may_reserve: budget.has_trial_permit(now),
+            available: budget.available(),
+        })
+    }
+
+    /// Reserves the permit for a retry of a trial, should it fail; `None` if none is available.
+    pub(crate) fn reserve_for_trial(&self, pool: &[Requirement]) -> Option<ReservedPermit> {
+        let now = self.now();
+        self.with_budget(pool, |budget| budget.reserve_for_trial(now))
+    }
+
+    /// Returns the permit of a trial that needs no retry.
+    pub(crate) fn give_back(&self, pool: &[Requirement], permit: ReservedPermit) {
+        self.with_budget(pool, |budget| budget.give_back(permit));
+    }
+
     fn with_budget<T>(
         &self,
         pool: &[Requirement],
@@ -568,6 +610,15 @@
     }
 }
 
+/// Permits of a retry budget.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct RetryPermits {
+    /// Whether one may be reserved for a trial.
+    pub may_reserve: bool,
+    /// Number of permits that are not reserved.
+    pub available: usize,
+}
+
 /// Short name of a pool, for logs and as key of its state: the first value that a requirement asks
 /// for, or `all`. Pools of the same name share their state.
 pub fn pool_name(pool: &[Requirement]) -> &str {
--- a/crates/stacktack-direct/src/sending.rs
+++ b/crates/stacktack-direct/src/sending.rs
@@ -72,6 +72,9 @@
             return AttemptOutcome::NotAdmitted;
         }
         self.record_admission();
+        if !on_probation {
+            self.reserve_retry_permit(&choice);
+        }
         let back_end = choice.back_end.clone();
         let fetch_from = self.fetch_source(&back_end);
         self.tried.push(back_end.clone());
@@ -134,7 +137,7 @@
         }
         log::info!(
             target: "choice",
-            "id={} part={:x} tokens={} back_end={} version={} resumes={} probation={on_probation} load={:.1} load_age_ms={} mean={:.1} {} pool_fill={} first_event_ms={} placement={} {} rank={} standing={} announced={} fetch={} config={} directory={} directory_age_ms={} peers={}",
+            "id={} part={:x} tokens={} back_end={} version={} resumes={} probation={on_probation} load={:.1} load_age_ms={} mean={:.1} {} pool_fill={} first_event_ms={} placement={} {} rank={} standing={} trial={} announced={} fetch={} config={} directory={} directory_age_ms={} peers={}",
             self.id,
             self.caller.prompt.affinity_part().map_or(0, |part| part.id),
             self.caller.prompt.shared_tokens(),
@@ -151,6 +154,7 @@
             choice.work_fields(),
             choice.selection.rank,
             choice.health.as_str(),
+            self.reserved_permit.is_some(),
             self.router.announced_text(&choice.back_end),
             fetch_from.map_or_else(|| "-".to_owned(), |holder| holder.to_string()),
             self.version,
@@ -367,6 +371,7 @@
                 }
             };
         }
+        self.release_reserved_permit();
         attempt.on_success();
         attempt.on_response_start(head.status, &response_info);
         if head.status.is_success() {
--- a/crates/stacktack-direct/tests/part_datagrams.rs
+++ b/crates/stacktack-direct/tests/part_datagrams.rs
@@ -6,7 +6,7 @@
 
 use std::net::SocketAddr;
 
-use stacktack_core::direct::peers::peer_gossip::PeerGossip;
+use stacktack_core::direct::peers::peer_gossip::{PeerGossip, RecoveryGossip, ShortId};
 use stacktack_core::direct::peers::source_age::{SourceAges, SourceReads};
 use stacktack_core::direct::peers::MAX_DATAGRAM_BYTES;
 use stacktack_core::direct::quarantine::digest::SuspectDigest;
@@ -15,7 +15,10 @@
 use stacktack_core::direct::quarantine::suspects::CallerHash;
 use stacktack_core::direct::stream_versions::software_version::SoftwareVersion;
 use stacktack_core::direct::work::gossip::TenantWorkGossip;
-use stacktack_direct::datagram::{decode, encode_with_work, WorkGossip};
+use stacktack_core::time::Time;
+use stacktack_direct::datagram::{
+    decode, encode_with, encode_with_work, OptionalContent, WorkGossip,
+};
 
 use steady_peer::steady_peer_gossip;
 
@@ -77,3 +80,27 @@
     println!("circumstances: {} bytes", with.len() - without.len());
     assert!(with.starts_with(&without) && with.len() <= MAX_DATAGRAM_BYTES);
 }
+
+#[test]
+fn recoveries_of_back_ends_arrive_with_and_without_what_stands_before_them() {
+    let (ages, reads) = (SourceAges::default(), SourceReads::default());
+    let now = Time(10_000_000);
+    let back_end = ShortId([1, 2, 3]);
+    let recoveries = [RecoveryGossip::new(back_end, Time(9_000_000), now).expect("recent")];
+    let no_work = WorkGossip::default();
+    let content = OptionalContent {
+        rollouts: &[],
+        work: &no_work,
+        recoveries: &recoveries,
+    };
+    for records in [vec![], vec![record(2, Some(context(0)))]] {
+        let bytes = encode_with(&gossip(), &records, &ages, &reads, &content).expect("a datagram");
+        assert!(bytes.len() <= MAX_DATAGRAM_BYTES);
+        let datagram = decode(&bytes).expect("decodes");
+        assert_eq!(datagram.records.len(), records.len());
+        assert_eq!(datagram.recoveries, recoveries);
+        assert_eq!(datagram.recoveries[0].served_at(now), Time(9_000_000));
+    }
+    let without = encoded(&[], &no_work);
+    assert!(decode(&without).expect("decodes").recoveries.is_empty());
+}
