--- a/crates/stacktack-core/src/direct/back_ends/back_end.rs
+++ b/crates/stacktack-core/src/direct/back_ends/back_end.rs
@@ -289,7 +289,7 @@
             self.recovered_at = None;
         } else {
             self.last_success = Some(now);
-            if before || self.has_suspect_reports(now) || self.recovered_at.is_some() {
+            if before || self.has_suspect_reports(now) {
                 self.recovered_at = Some(now);
             }
         }
@@ -390,8 +390,8 @@
         (now.since(at) < RECOVERY_RETENTION).then_some(at)
     }
 
-    /// Records a success at the back end that a peer had. Returns whether it changes what this
-    /// router believes: it ends suspicion, or brings it nearer to its end.
+    /// Records a success that a peer had at the back end at time `at`. Returns `Some(false)` if it
+    /// clears a suspect back end.
     pub fn on_peer_success(&mut self, at: Time, now: Time) -> Option<bool> {
         let is_older = self.last_failure.is_some_and(|failed| at <= failed)
             || self
