A permit reserved for a trial expires like any other

A reserved permit that expired while its trial ran was spent all the same, so that a retry could be paid for with a permit older than the window; the retry budget holds by construction only if none is. A failed trial now redeems its permit within its window, else it asks the budget like any retry. A permit that is given back also goes in by its age: the queue is told to be the oldest first.

--- a/crates/stacktack-core/src/direct/request/budget.rs
+++ b/crates/stacktack-core/src/direct/request/budget.rs
@@ -111,7 +111,13 @@
     /// Returns the permit of a trial that needs no retry.
     pub fn give_back(&mut self, permit: ReservedPermit) {
         self.trial_credit += 1.0;
-        self.earned.push_front(permit.0);
+        let earlier = self.earned.partition_point(|earned| *earned <= permit.0);
+        self.earned.insert(earlier, permit.0);
+    }
+
+    /// Spends the permit of a trial that failed; false if it has expired meanwhile.
+    pub fn redeem(&self, permit: ReservedPermit, now: Time) -> bool {
+        now.since(permit.0) < self.bound.window
     }
 
     /// Number of available permits. Expired ones count until the next call of
--- a/crates/stacktack-core/tests/recovering_back_ends/simulation.rs
+++ b/crates/stacktack-core/tests/recovering_back_ends/simulation.rs
@@ -582,7 +582,8 @@
             request.sends += 1;
             let ran = failure != Failure::Rejections;
             may_send_again &= (request.retryable || !ran) && request.sends < MAX_ATTEMPTS;
-            let reserved = request.reserved.take().is_some();
+            let reserved = request.reserved.take();
+            let reserved = reserved.is_some_and(|permit| router.budget.redeem(permit, now));
             may_send_again = may_send_again && (reserved || router.budget.take(now));
         }
         if may_send_again {
--- a/crates/stacktack-core/tests/retry_budget.rs
+++ b/crates/stacktack-core/tests/retry_budget.rs
@@ -353,3 +353,28 @@
     assert_eq!(budget.available(), 8);
     assert!(budget.has_trial_permit(now));
 }
+
+#[test]
+fn a_permit_of_a_trial_expires_like_any_other() {
+    let bound = BudgetBound {
+        ratio: 2.0,
+        extra: 0.0,
+        window: Duration::from_secs(10),
+    };
+    let at = |seconds: u64| Time(seconds * 1_000_000);
+    let mut budget = PoolRetryBudget::new(bound, 0.0);
+    for earned_at in [1, 2, 3] {
+        budget.count_request(at(earned_at));
+    }
+    let first = budget.reserve_for_trial(at(3)).expect("a permit");
+    let second = budget.reserve_for_trial(at(3)).expect("a permit");
+    budget.give_back(first);
+    budget.give_back(second);
+    assert!(budget.take(at(11)), "the first one has expired");
+    assert!(budget.take(at(11)));
+    assert!(!budget.take(at(11)));
+    budget.count_request(at(20));
+    budget.count_request(at(20));
+    let late = budget.reserve_for_trial(at(20)).expect("a permit");
+    assert!(!budget.redeem(late, at(30)));
+}
--- a/crates/stacktack-direct/src/exchange.rs
+++ b/crates/stacktack-direct/src/exchange.rs
@@ -323,7 +323,8 @@
 
     /// Takes the permit for one retry: the reserved one, or one of the budget.
     pub(crate) fn take_retry_permit(&mut self) -> bool {
-        if self.reserved_permit.take().is_none() {
+        let reserved = self.reserved_permit.take();
+        if !reserved.is_some_and(|permit| self.router.redeem(self.pool(), permit)) {
             return self.router.take_retry(&self.id, self.pool());
         }
         self.router.metrics.count_retry(true);
--- a/crates/stacktack-direct/src/router.rs
+++ b/crates/stacktack-direct/src/router.rs
@@ -572,6 +572,12 @@
         self.with_budget(pool, |budget| budget.reserve_for_trial(now))
     }
 
+    /// Spends the permit of a trial that failed; false if it has expired meanwhile.
+    pub(crate) fn redeem(&self, pool: &[Requirement], permit: ReservedPermit) -> bool {
+        let now = self.now();
+        self.with_budget(pool, |budget| budget.redeem(permit, now))
+    }
+
     /// Returns the permit of a trial that needs no retry.
     pub(crate) fn give_back(&self, pool: &[Requirement], permit: ReservedPermit) {
         self.with_budget(pool, |budget| budget.give_back(permit));
