Log directory entries that change nothing, and why

No line told whether the drain had not been read, had been read and dropped, or had been applied without effect.

`directory: back_end=B taken=false cause=... revision=R` tells it.

--- a/crates/stacktack-core/src/direct/back_ends/directory.rs
+++ b/crates/stacktack-core/src/direct/back_ends/directory.rs
@@ -118,6 +118,39 @@
 /// Label that names the version of a back end's software.
 pub const VERSION_LABEL: &str = "version";
 
+/// Reason why an entry of an update does not change the known back ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum IgnoreCause {
+    /// An entry of a newer revision is known.
+    OlderRevision,
+    /// A later instance of the id is known.
+    EarlierStart,
+    /// The removal of the id at the same or a newer revision is known.
+    Removed,
+}
+
+impl IgnoreCause {
+    /// Fixed word for logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            IgnoreCause::OlderRevision => "older_revision",
+            IgnoreCause::EarlierStart => "earlier_start",
+            IgnoreCause::Removed => "removed",
+        }
+    }
+}
+
+/// Entry of an update that does not change the known back ends.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct IgnoredEntry {
+    /// Id of the back end.
+    pub id: String,
+    /// Directory revision at which the entry last changed.
+    pub revision: u64,
+    /// Why it is ignored.
+    pub cause: IgnoreCause,
+}
+
 /// Changes that an update of the directory made to the known back ends.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct DirectoryChange {
@@ -131,4 +164,17 @@
     pub leaving: Vec<String>,
     /// Ids that were removed.
     pub gone: Vec<String>,
+    /// Entries that change nothing.
+    pub ignored: Vec<IgnoredEntry>,
+}
+
+impl DirectoryChange {
+    /// Records an entry that changes nothing.
+    pub(crate) fn ignore(&mut self, entry: &BackEndEntry, cause: IgnoreCause) {
+        self.ignored.push(IgnoredEntry {
+            id: entry.id.clone(),
+            revision: entry.revision,
+            cause,
+        });
+    }
 }
--- a/crates/stacktack-core/src/direct/back_ends/mod.rs
+++ b/crates/stacktack-core/src/direct/back_ends/mod.rs
@@ -29,7 +29,7 @@
 };
 use crate::direct::back_ends::back_end::BackEnd;
 use crate::direct::back_ends::directory::{
-    BackEndEntry, DirectoryChange, DirectoryDelta, InstanceId, RemovedEntry,
+    BackEndEntry, DirectoryChange, DirectoryDelta, IgnoreCause, InstanceId, RemovedEntry,
 };
 use crate::direct::back_ends::health::{Health, PoolMedians};
 use crate::direct::back_ends::outlier_detector::TrialTerms;
@@ -61,8 +61,12 @@
     /// is known, or if a remembered removal of the id has the same or a newer revision.
     pub fn upsert(&mut self, entry: BackEndEntry, now: Time, change: &mut DirectoryChange) {
         match self.members.get_mut(&entry.id) {
-            Some(known) if known.entry.revision > entry.revision => {}
-            Some(known) if entry.born != 0 && known.entry.is_newer_instance_than(&entry) => {}
+            Some(known) if known.entry.revision > entry.revision => {
+                change.ignore(&entry, IgnoreCause::OlderRevision);
+            }
+            Some(known) if entry.born != 0 && known.entry.is_newer_instance_than(&entry) => {
+                change.ignore(&entry, IgnoreCause::EarlierStart);
+            }
             Some(known) if entry.is_newer_instance_than(&known.entry) => {
                 // The state kept for the previous instance does not apply to this one.
                 change.restarted.push(entry.id.clone());
@@ -86,6 +90,7 @@
         change: &mut DirectoryChange,
     ) {
         if self.has_later_removal(&entry) {
+            change.ignore(&entry, IgnoreCause::Removed);
             return;
         }
         change.joined.push(entry.id.clone());
--- a/crates/stacktack-direct/src/followers/directory.rs
+++ b/crates/stacktack-direct/src/followers/directory.rs
@@ -348,6 +348,7 @@
             log::info!(target: "directory", "back_end={id} now={state} revision={revision}");
         }
     }
+    log_ignored(change);
     router.on_vanished(&change.vanished);
     for id in change.gone.iter().chain(&change.restarted) {
         router.prefix_locations.borrow_mut().forget_back_end(id);
@@ -355,3 +356,19 @@
         known_parts.forget_back_end(hash_of_id(id));
     }
 }
+
+/// Logs the entries that changed nothing, at most [`MAX_LISTED_CHANGES`] of them one by one.
+fn log_ignored(change: &DirectoryChange) {
+    for entry in change.ignored.iter().take(MAX_LISTED_CHANGES) {
+        log::info!(
+            target: "directory",
+            "back_end={} taken=false cause={} revision={}",
+            entry.id,
+            entry.cause.as_str(),
+            entry.revision,
+        );
+    }
+    if change.ignored.len() > MAX_LISTED_CHANGES {
+        log::info!(target: "directory", "back_ends={} taken=false", change.ignored.len());
+    }
+}
