A back end that restarts with an earlier start time is believed

Cause: BackEnds::upsert let the start time (`born`) decide before the revision, so that an entry of an earlier start time was dropped whatever its revision. A worker that started while its clock was 2 s ahead, crashed and started again could announce nothing any more: neither its drain nor its address, slots or cold time, until its clock caught up or its row went. The router that reads the store dropped the entries, and so its peers never heard of them.

Why this works: the revision is the store's, from one counter, and orders all entries of an id. The start time tells instances apart and orders nothing: a newer revision with another start time is another instance, in either direction. An equal revision with another start time is ignored, since one counter never gives it.

--- a/crates/stacktack-core/src/direct/back_ends/directory.rs
+++ b/crates/stacktack-core/src/direct/back_ends/directory.rs
@@ -14,7 +14,8 @@
 pub struct BackEndEntry {
     /// Id of the back end; a later instance may have the same one.
     pub id: String,
-    /// Start of this instance, in Unix milliseconds; 0 if unknown.
+    /// Start of this instance, in Unix milliseconds on the clock of its machine; 0 if unknown. It
+    /// tells instances apart and does not order them.
     pub born: u64,
     /// Address on which the back end listens.
     pub address: SocketAddr,
@@ -31,9 +32,11 @@
 }
 
 impl BackEndEntry {
-    /// Whether this entry describes a later instance of the same id than `other`.
-    pub fn is_newer_instance_than(&self, other: &BackEndEntry) -> bool {
-        other.born != 0 && self.born > other.born
+    /// Whether this entry and `other`, of the same id, describe the same instance. An unknown start
+    /// time shows no other instance. Start times do not order instances, because the clocks from
+    /// which they come may be stepped; the revisions of the entries do.
+    pub fn is_same_instance_as(&self, other: &BackEndEntry) -> bool {
+        self.born == other.born || self.born == 0 || other.born == 0
     }
 
     /// Zone of the back end, if labelled.
@@ -121,10 +124,8 @@
 /// Reason why an entry of an update does not change the known back ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum IgnoreCause {
-    /// An entry of a newer revision is known.
-    OlderRevision,
-    /// A later instance of the id is known.
-    EarlierStart,
+    /// An entry of a newer revision is known, or of the same one with another start time.
+    NotNewer,
     /// The removal of the id at the same or a newer revision is known.
     Removed,
 }
@@ -133,8 +134,7 @@
     /// Fixed word for logs.
     pub fn as_str(self) -> &'static str {
         match self {
-            IgnoreCause::OlderRevision => "older_revision",
-            IgnoreCause::EarlierStart => "earlier_start",
+            IgnoreCause::NotNewer => "not_newer",
             IgnoreCause::Removed => "removed",
         }
     }
@@ -156,7 +156,7 @@
 pub struct DirectoryChange {
     /// Ids that are new.
     pub joined: Vec<String>,
-    /// Ids whose earlier instance was replaced by a later one.
+    /// Ids whose instance was replaced by the one of a newer entry.
     pub restarted: Vec<String>,
     /// Instances that were removed or replaced without having been marked as leaving.
     pub vanished: Vec<VanishedInstance>,
--- a/crates/stacktack-core/src/direct/back_ends/mod.rs
+++ b/crates/stacktack-core/src/direct/back_ends/mod.rs
@@ -22,6 +22,7 @@
 pub mod work_time;
 pub mod zone_drain;
 
+use std::cmp::Ordering;
 use std::collections::{HashMap, HashSet, VecDeque};
 
 use crate::direct::back_ends::announcement::{
@@ -57,29 +58,30 @@
 }
 
 impl BackEnds {
-    /// Inserts or updates one directory entry. An entry is ignored if a newer one of the same id
-    /// is known, or if a remembered removal of the id has the same or a newer revision.
+    /// Inserts or updates one directory entry. The revision alone orders the entries of an id: an
+    /// entry is ignored if a newer one is known, or if a remembered removal has the same or a newer
+    /// revision. A newer entry with another start time describes another instance.
     pub fn upsert(&mut self, entry: BackEndEntry, now: Time, change: &mut DirectoryChange) {
-        match self.members.get_mut(&entry.id) {
-            Some(known) if known.entry.revision > entry.revision => {
-                change.ignore(&entry, IgnoreCause::OlderRevision);
-            }
-            Some(known) if entry.born != 0 && known.entry.is_newer_instance_than(&entry) => {
-                change.ignore(&entry, IgnoreCause::EarlierStart);
+        let Some(known) = self.members.get_mut(&entry.id) else {
+            self.insert_unless_removed(entry, now, change);
+            return;
+        };
+        let is_same_instance = known.entry.is_same_instance_as(&entry);
+        match known.entry.revision.cmp(&entry.revision) {
+            Ordering::Greater => change.ignore(&entry, IgnoreCause::NotNewer),
+            Ordering::Equal if !is_same_instance => change.ignore(&entry, IgnoreCause::NotNewer),
+            _ if is_same_instance => {
+                if entry.leaving && !known.is_leaving() {
+                    change.leaving.push(entry.id.clone());
+                }
+                known.update_entry(entry, now);
             }
-            Some(known) if entry.is_newer_instance_than(&known.entry) => {
+            _ => {
                 // The state kept for the previous instance does not apply to this one.
                 change.restarted.push(entry.id.clone());
                 change.vanished.extend(known.vanished());
                 *known = BackEnd::new(entry, now);
             }
-            Some(known) => {
-                if entry.leaving && !known.is_leaving() {
-                    change.leaving.push(entry.id.clone());
-                }
-                known.update_entry(entry, now);
-            }
-            None => self.insert_unless_removed(entry, now, change),
         }
     }
 
