A leave announced in a response holds when its instance is listed again

Callers would see: a back end that said in its responses that it leaves gets work again after another instance of its id was listed in between. Not seen on real processes; found while looking for the same cause on related paths.

Cause: what an instance announced was dropped when another instance replaced it, while it is kept when its entry goes. Since revisions order instances, an entry of the earlier one may be listed again: the store may perform a write seconds after it was made.

Evidence: a_leave_holds_when_its_instance_is_listed_again_after_another_one failed before (candidates a and b).

Why this works: replacing an instance now unlists one and lists the other by the same two steps as a removal and a new entry, which keep and look up announcements by instance.

--- a/crates/stacktack-core/src/direct/back_ends/announcement.rs
+++ b/crates/stacktack-core/src/direct/back_ends/announcement.rs
@@ -4,8 +4,8 @@
 //! sends requests there gets responses of its own. It counts beside the directory: the earlier of
 //! the two decides, and neither undoes the other.
 //!
-//! A leave is final for its instance and ends with it, when an entry shows a later instance of the
-//! same id. An entry that says `ready` does not end it: entries are read late, and the store may
+//! A leave is final for its instance: an entry that shows another instance of the same id ends it for
+//! that one only, and it counts again if the instance is listed once more. An entry that says `ready` does not end it: entries are read late, and the store may
 //! perform a write seconds after it was made, so that none can be told to be newer than a
 //! response.
 
--- a/crates/stacktack-core/src/direct/back_ends/mod.rs
+++ b/crates/stacktack-core/src/direct/back_ends/mod.rs
@@ -76,15 +76,20 @@
                 }
                 known.update_entry(entry, now);
             }
-            _ => {
-                // The state kept for the previous instance does not apply to this one.
-                change.restarted.push(entry.id.clone());
-                change.vanished.extend(known.vanished());
-                *known = BackEnd::new(entry, now);
-            }
+            _ => self.replace_instance(entry, now, change),
         }
     }
 
+    /// Lists another instance of a known id. The state kept for the previous instance does not apply
+    /// to it.
+    fn replace_instance(&mut self, entry: BackEndEntry, now: Time, change: &mut DirectoryChange) {
+        change.restarted.push(entry.id.clone());
+        if let Some(previous) = self.members.remove(&entry.id) {
+            self.on_unlisted(previous, change);
+        }
+        self.insert(entry, now, change);
+    }
+
     fn insert_unless_removed(
         &mut self,
         entry: BackEndEntry,
@@ -96,6 +101,11 @@
             return;
         }
         change.joined.push(entry.id.clone());
+        self.insert(entry, now, change);
+    }
+
+    /// Lists an instance, with what it has announced.
+    fn insert(&mut self, entry: BackEndEntry, now: Time, change: &mut DirectoryChange) {
         let announcements = self.unlisted.take(&entry.id, InstanceId::of(&entry));
         let mut member = BackEnd::new(entry, now);
         member.announcements = announcements.unwrap_or_default();
@@ -120,11 +130,7 @@
             return;
         }
         if let Some(known) = self.members.remove(&removed.id) {
-            if known.announcements != Announcements::default() {
-                let instance = InstanceId::of(&known.entry);
-                *self.unlisted.entry(&removed.id, instance) = known.announcements;
-            }
-            change.vanished.extend(known.vanished());
+            self.on_unlisted(known, change);
         }
         change.gone.push(removed.id.clone());
         self.removals.push_back(removed);
@@ -135,6 +141,16 @@
         }
     }
 
+    /// Keeps what an instance announced that is no longer listed: a write that the store performs
+    /// late may list it again.
+    fn on_unlisted(&mut self, known: BackEnd, change: &mut DirectoryChange) {
+        if known.announcements != Announcements::default() {
+            let instance = InstanceId::of(&known.entry);
+            *self.unlisted.entry(&known.entry.id, instance) = known.announcements;
+        }
+        change.vanished.extend(known.vanished());
+    }
+
     /// Known back ends that a directory snapshot of `revision` does not list.
     pub fn missing_from(&self, listed: &[BackEndEntry], revision: u64) -> Vec<RemovedEntry> {
         let listed: HashSet<&str> = listed.iter().map(|entry| entry.id.as_str()).collect();
--- a/crates/stacktack-core/tests/announcements.rs
+++ b/crates/stacktack-core/tests/announcements.rs
@@ -182,6 +182,24 @@
     assert_eq!(candidates(&mut all), ["a", "b"]);
 }
 
+/// Guards against work for an instance that leaves, after a late write lists it again.
+#[test]
+fn a_leave_holds_when_its_instance_is_listed_again_after_another_one() {
+    let other = |revision| BackEndEntry {
+        born: 200,
+        ..entry("a", revision)
+    };
+    let mut all = back_ends(&["a", "b"]);
+    announce_leave(&mut all, "a");
+    upsert(&mut all, other(2));
+    assert_eq!(candidates(&mut all), ["a", "b"]);
+    let back = upsert(&mut all, entry("a", 3));
+    assert_eq!((back.restarted, back.leaving), (ids("a"), ids("a")));
+    assert_eq!(candidates(&mut all), ["b"]);
+    upsert(&mut all, other(4));
+    assert_eq!(candidates(&mut all), ["a", "b"]);
+}
+
 #[test]
 fn a_departure_is_reported_once_whichever_source_tells_it_first() {
     let leaving = BackEndEntry {
