The router owns its belief about the store

No change of behaviour but one: after a suspension of its machine a router that is not ready names the time of an outage in Retry-After until the store has answered, as it does for any lost store.

Availability and latency of the store were kept in a monitor beside the router, and once more in the router's flag store_lost, which only the directory's follower set. What peers report arrives at the router and could reach neither. The monitor is a part of the router now, the flag is gone, and the followers need no second handle.

--- a/crates/stacktack-direct/src/app.rs
+++ b/crates/stacktack-direct/src/app.rs
@@ -16,7 +16,7 @@
 use crate::clock::SystemClock;
 use crate::followers::{
     discover_routers, fetch_from_peers, follow_configuration, follow_directory,
-    read_missed_zone_drains, sync_verdicts, write_rollout_statuses, StoreMonitor,
+    read_missed_zone_drains, sync_verdicts, write_rollout_statuses,
 };
 use crate::gossip;
 use crate::metrics::DirectMetrics;
@@ -26,6 +26,7 @@
 use crate::server::{accept_callers, listen, serve_by_address_and_path, serve_by_path};
 use crate::settings::{DirectSettings, SettingsSource};
 use crate::stopping::stop;
+use crate::store_monitor::StoreMonitor;
 use crate::stream_versions::send_stream_versions;
 
 /// Time between two clean-ups of expired state, such as idle connections and prefix locations.
@@ -82,40 +83,23 @@
         ports.protocol,
         instruments,
         Rc::new(SystemClock),
+        StoreMonitor::new()?,
     ));
     router.enable_rollouts()?;
-    let store = Rc::new(StoreMonitor::new("store")?);
     actix_rt::spawn(follow_configuration(
         router.clone(),
         ports.configuration.clone(),
-        store.clone(),
-    ));
-    actix_rt::spawn(read_missed_zone_drains(
-        router.clone(),
-        ports.configuration,
-        store.clone(),
-    ));
-    actix_rt::spawn(follow_directory(
-        router.clone(),
-        ports.directory,
-        store.clone(),
-    ));
-    actix_rt::spawn(sync_verdicts(router.clone(), ports.verdicts, store.clone()));
-    actix_rt::spawn(write_rollout_statuses(
-        router.clone(),
-        ports.rollouts,
-        store.clone(),
     ));
+    actix_rt::spawn(read_missed_zone_drains(router.clone(), ports.configuration));
+    actix_rt::spawn(follow_directory(router.clone(), ports.directory));
+    actix_rt::spawn(sync_verdicts(router.clone(), ports.verdicts));
+    actix_rt::spawn(write_rollout_statuses(router.clone(), ports.rollouts));
     actix_rt::spawn(gossip::receive(router.clone(), socket.clone()));
     actix_rt::spawn(fetch_from_peers(router.clone(), Rc::new(HttpPeers)));
     actix_rt::spawn(discover_routers(router.clone(), Rc::new(HttpPeers)));
-    actix_rt::spawn(gossip::push_updates(
-        router.clone(),
-        socket.clone(),
-        store.clone(),
-    ));
+    actix_rt::spawn(gossip::push_updates(router.clone(), socket.clone()));
     actix_rt::spawn(send_stream_versions(router.clone(), socket.clone()));
-    actix_rt::spawn(gossip::run_rounds(router.clone(), socket, store));
+    actix_rt::spawn(gossip::run_rounds(router.clone(), socket));
     actix_rt::spawn({
         let router = router.clone();
         serve_by_address_and_path(peers_listener, move |peer, path| {
--- a/crates/stacktack-direct/src/followers/configuration.rs
+++ b/crates/stacktack-direct/src/followers/configuration.rs
@@ -9,7 +9,6 @@
 use super::backoff::Backoff;
 use super::poll_schedule::{is_updated_by_peers, long_poll_wait, PollSchedule};
 use super::start_delay::{StartDelay, StartProgress};
-use super::store_monitor::StoreMonitor;
 use crate::calls::{CallEvent, EndedCall, HedgedCalls};
 use crate::freshness::SourceKnowledge;
 use crate::ports::{ConfigurationSource, ConfigurationUpdate, SourceError};
@@ -29,14 +28,9 @@
 const MIN_TRANSFER_FOR_SNAPSHOT: Duration = Duration::from_millis(500);
 
 /// Keeps the configuration of `router` current, from the store or from peers. Never returns.
-pub async fn follow_configuration(
-    router: Rc<Router>,
-    source: Rc<dyn ConfigurationSource>,
-    store: Rc<StoreMonitor>,
-) {
+pub async fn follow_configuration(router: Rc<Router>, source: Rc<dyn ConfigurationSource>) {
     let mut follower = ConfigurationFollower {
         router: router.clone(),
-        store: store.clone(),
         history_gone: false,
         unanswered_since: None,
         is_lagging: false,
@@ -50,13 +44,13 @@
         let timeout = follower.timeout();
         let watches = !calls.is_idle();
         // A lost store is called again after the backoff, not by polls.
-        let is_retrying = watches && store.is_lost();
+        let is_retrying = watches && router.store.is_lost();
         let may_poll = !is_retrying && !calls.has_arriving_answer();
         let budget = router.configuration_budget();
         let known = &router.freshness.configuration;
         let poll_due = follower
             .polls
-            .due(&router, budget, store.lateness(), known, watches);
+            .due(&router, budget, router.store.lateness(), known, watches);
         let event = tokio::select! {
             event = calls.next_event(timeout) => event,
             cause = poll_due, if may_poll => {
@@ -72,7 +66,7 @@
                 calls.schedule(Duration::ZERO);
                 continue;
             }
-            () = store.recovered(), if watches => {
+            () = router.store.recovered(), if watches => {
                 // A call that waits at the store may have been lost in the outage. A call whose
                 // response is arriving continues: another one would start again at the first byte.
                 if !calls.has_arriving_answer() {
@@ -107,7 +101,6 @@
 /// State of the task that follows the configuration.
 struct ConfigurationFollower {
     router: Rc<Router>,
-    store: Rc<StoreMonitor>,
     /// Whether the store no longer has the changes after the known revision.
     history_gone: bool,
     /// Since when an answer of the store is overdue; `None` if none is.
@@ -123,7 +116,9 @@
 
 impl ConfigurationFollower {
     fn timeout(&self) -> Duration {
-        self.store.timeout(self.router.configuration_version() == 0)
+        self.router
+            .store
+            .timeout(self.router.configuration_version() == 0)
     }
 
     /// Revision after which to read; `None` for a snapshot.
@@ -223,7 +218,7 @@
             .polls
             .on_response(SOURCE, known, update.answered_at_ms, router);
         self.backoff.reset();
-        self.store.record_lateness(call.lateness());
+        self.router.store.record_lateness(call.lateness());
         self.router.on_contact();
         self.unanswered_since = None;
         self.history_gone = false;
@@ -248,7 +243,7 @@
             self.router.apply_configuration(Arc::new(configuration));
         }
         self.router.record_configuration_age(
-            call.answer_age(self.store.lateness()),
+            call.answer_age(self.router.store.lateness()),
             update.answered_at_ms,
         );
         keeps_watching.then_some(Duration::ZERO)
--- a/crates/stacktack-direct/src/followers/directory.rs
+++ b/crates/stacktack-direct/src/followers/directory.rs
@@ -13,7 +13,6 @@
 use super::backoff::Backoff;
 use super::poll_schedule::{is_updated_by_peers, long_poll_wait, PollSchedule};
 use super::start_delay::{StartDelay, StartProgress};
-use super::store_monitor::StoreMonitor;
 use crate::calls::{CallEvent, EndedCall, HedgedCalls};
 use crate::freshness::SourceKnowledge;
 use crate::ports::{Directory, DirectoryUpdate, SourceError};
@@ -37,15 +36,10 @@
 const MAX_LISTED_CHANGES: usize = 24;
 
 /// Keeps the back ends of `router` current, from the directory or from peers. Never returns.
-pub async fn follow_directory(
-    router: Rc<Router>,
-    directory: Rc<dyn Directory>,
-    store: Rc<StoreMonitor>,
-) {
+pub async fn follow_directory(router: Rc<Router>, directory: Rc<dyn Directory>) {
     let mut follower = DirectoryFollower {
         start: StartDelay::begin(&router),
         router,
-        store,
         polls: PollSchedule::new(),
         backoff: Backoff::new(),
     };
@@ -83,7 +77,6 @@
 /// State of the task that follows the directory.
 struct DirectoryFollower {
     router: Rc<Router>,
-    store: Rc<StoreMonitor>,
     polls: PollSchedule,
     backoff: Backoff,
     start: StartDelay,
@@ -93,7 +86,7 @@
     /// Long-poll wait of one call; zero for a poll, and for a lost store, so that its return is
     /// noticed at once.
     fn wait(&mut self) -> Duration {
-        if self.polls.is_poll() || self.store.is_lost() {
+        if self.polls.is_poll() || self.router.store.is_lost() {
             return Duration::ZERO;
         }
         let age = self.router.directory_age().unwrap_or_default();
@@ -158,14 +151,17 @@
         &mut self,
         calls: &mut HedgedCalls<'_, DirectoryUpdate>,
     ) -> CallEvent<DirectoryUpdate> {
-        let timeout = self.store.timeout(self.knowledge().read_at().is_none());
+        let timeout = self
+            .router
+            .store
+            .timeout(self.knowledge().read_at().is_none());
         let budget = self.router.directory_budget();
         loop {
             let watches = !calls.is_idle();
             // A lost store is called again after the backoff, not by polls.
-            let is_retrying = watches && self.store.is_lost();
+            let is_retrying = watches && self.router.store.is_lost();
             let may_poll = !is_retrying && !calls.has_arriving_answer();
-            let lateness = self.store.lateness();
+            let lateness = self.router.store.lateness();
             let poll_due =
                 self.polls
                     .due(&self.router, budget, lateness, self.knowledge(), watches);
@@ -176,7 +172,7 @@
                 () = self.router.wait_for_resume() => {
                     // Missing entries may only have been unable to renew themselves, and the call
                     // in flight may wait on a dead connection.
-                    self.store.on_failure(self.router.now(), SourceError::Suspended);
+                    self.router.store.on_failure(self.router.now(), SourceError::Suspended);
                     calls.schedule(Duration::ZERO);
                 }
                 () = sleep(PENDING_REMOVALS_CHECK_INTERVAL), if self.has_pending_removals() =>
@@ -196,13 +192,12 @@
             .on_response(SOURCE, known, update.answered_at_ms, router);
         let is_empty = update.delta.is_empty();
         self.backoff.reset();
-        self.store.record_lateness(call.lateness());
-        self.store.on_answer(now);
+        self.router.store.record_lateness(call.lateness());
+        self.router.store.on_answer(now);
         self.router.on_contact();
-        self.router.store_lost.set(false);
         self.knowledge().record_read(update.revision);
         self.router.record_directory_age(
-            call.answer_age(self.store.lateness()),
+            call.answer_age(self.router.store.lateness()),
             update.answered_at_ms,
         );
         self.apply_update(update, now);
@@ -231,8 +226,7 @@
             self.knowledge().forget_read();
             return Some(Duration::ZERO);
         }
-        self.store.on_failure(self.router.now(), error);
-        self.router.store_lost.set(true);
+        self.router.store.on_failure(self.router.now(), error);
         if is_updated_by_peers(
             &self.router,
             &self.router.directory_budget(),
@@ -246,8 +240,8 @@
     /// Whether the store has answered this router or some peer for long enough, without a gap, that
     /// all live back ends have renewed their entries.
     fn is_steady(&self, now: Time) -> bool {
-        let is_answering =
-            self.store.is_steady(now) || self.router.peers.borrow().any_directory_steady(now);
+        let is_answering = self.router.store.is_steady(now)
+            || self.router.peers.borrow().any_directory_steady(now);
         is_answering && self.router.directory_had_no_gap()
     }
 
--- a/crates/stacktack-direct/src/followers/mod.rs
+++ b/crates/stacktack-direct/src/followers/mod.rs
@@ -14,7 +14,6 @@
 mod rollouts;
 mod routers;
 mod start_delay;
-mod store_monitor;
 mod verdicts;
 mod zone_drains;
 
@@ -23,6 +22,5 @@
 pub use peers::fetch_from_peers;
 pub use rollouts::write_rollout_statuses;
 pub use routers::discover_routers;
-pub use store_monitor::StoreMonitor;
 pub use verdicts::sync_verdicts;
 pub use zone_drains::read_missed_zone_drains;
--- a/crates/stacktack-direct/src/followers/rollouts.rs
+++ b/crates/stacktack-direct/src/followers/rollouts.rs
@@ -7,22 +7,17 @@
 use tokio::time::sleep;
 
 use super::backoff::Backoff;
-use super::store_monitor::StoreMonitor;
 use crate::ports::{RolloutStore, SourceError};
 use crate::router::Router;
 use crate::transfer::{with_idle_timeout, Transfer};
 
 /// Writes statuses of roll-outs whenever some are due. Never returns.
-pub async fn write_rollout_statuses(
-    router: Rc<Router>,
-    source: Rc<dyn RolloutStore>,
-    store: Rc<StoreMonitor>,
-) {
+pub async fn write_rollout_statuses(router: Rc<Router>, source: Rc<dyn RolloutStore>) {
     let mut backoff = Backoff::new();
     loop {
         router.rollout_write_due.notified().await;
         for write in router.due_rollout_writes() {
-            match write_status(&router, source.as_ref(), &store, &write).await {
+            match write_status(&router, source.as_ref(), &write).await {
                 Ok(()) => backoff.reset(),
                 Err(error) => {
                     log::info!(
@@ -41,13 +36,12 @@
 async fn write_status(
     router: &Router,
     source: &dyn RolloutStore,
-    store: &StoreMonitor,
     write: &StatusWrite,
 ) -> Result<(), SourceError> {
     router.metrics.count_store_call("rollout", "write");
     let transfer = Transfer::begin();
     let call = source.write_status(write, transfer.clone());
-    let result = with_idle_timeout(call, &transfer, store.timeout(false)).await?;
+    let result = with_idle_timeout(call, &transfer, router.store.timeout(false)).await?;
     let (stored, revision) = match &result {
         StatusWriteResult::Stored(revision) => (true, *revision),
         StatusWriteResult::Conflict { status, .. } => {
--- a/crates/stacktack-direct/src/followers/verdicts.rs
+++ b/crates/stacktack-direct/src/followers/verdicts.rs
@@ -11,7 +11,6 @@
 use tokio::time::sleep;
 
 use super::backoff::Backoff;
-use super::store_monitor::StoreMonitor;
 use crate::ports::{SourceError, VerdictStore};
 use crate::router::Router;
 use crate::transfer::{with_idle_timeout, Transfer};
@@ -38,15 +37,10 @@
 const MAX_ISOLATED_READ_INTERVAL: Duration = Duration::from_secs(8);
 
 /// Writes this router's verdicts to the store and reads those of the others. Never returns.
-pub async fn sync_verdicts(
-    router: Rc<Router>,
-    source: Rc<dyn VerdictStore>,
-    store: Rc<StoreMonitor>,
-) {
+pub async fn sync_verdicts(router: Rc<Router>, source: Rc<dyn VerdictStore>) {
     let mut sync = VerdictSync {
         router,
         source,
-        store,
         read_due: Time(0),
         last_read: Time(0),
         failed_reads: 0,
@@ -72,7 +66,6 @@
 struct VerdictSync {
     router: Rc<Router>,
     source: Rc<dyn VerdictStore>,
-    store: Rc<StoreMonitor>,
     /// When the next regular read is due.
     read_due: Time,
     /// Start of the last successful read, or time of the last failed read while most peers were
@@ -124,7 +117,7 @@
         let call = self
             .source
             .change_verdicts(&stored, &dropped, transfer.clone());
-        with_idle_timeout(call, &transfer, self.store.timeout(false)).await?;
+        with_idle_timeout(call, &transfer, self.router.store.timeout(false)).await?;
         log::info!(
             target: "quarantine",
             "store=written verdicts={} dropped={} ms={}",
@@ -142,7 +135,7 @@
         self.router.metrics.count_store_call("verdicts", "read");
         let transfer = Transfer::begin();
         let call = self.source.verdicts(transfer.clone());
-        let verdicts = with_idle_timeout(call, &transfer, self.store.timeout(false)).await?;
+        let verdicts = with_idle_timeout(call, &transfer, self.router.store.timeout(false)).await?;
         let now = self.router.now();
         let mut quarantine = self.router.quarantine.borrow_mut();
         let changes: Vec<TreatmentChange> = quarantine.apply_stored(&verdicts, started_at, now);
--- a/crates/stacktack-direct/src/freshness.rs
+++ b/crates/stacktack-direct/src/freshness.rs
@@ -281,7 +281,7 @@
                 age.as_millis(),
                 self.received_directory_revision.get(),
                 self.pending_removals.borrow().len(),
-                self.store_lost.get(),
+                self.store.is_lost(),
             );
         }
     }
--- a/crates/stacktack-direct/src/gossip.rs
+++ b/crates/stacktack-direct/src/gossip.rs
@@ -14,7 +14,6 @@
 use tokio::time::sleep;
 
 use crate::datagram::{decode, encode_with, OptionalContent, WorkGossip};
-use crate::followers::StoreMonitor;
 use crate::router::Router;
 use crate::stream_versions::is_stream_datagram;
 
@@ -148,15 +147,15 @@
 
 /// Runs gossip rounds: sends datagrams at each tick and updates the state that depends on what
 /// peers gossiped; never returns.
-pub async fn run_rounds(router: Rc<Router>, socket: Rc<UdpSocket>, store: Rc<StoreMonitor>) {
-    send_tick(&router, &socket, &store).await;
+pub async fn run_rounds(router: Rc<Router>, socket: Rc<UdpSocket>) {
+    send_tick(&router, &socket).await;
     loop {
         let due = Instant::now() + TICK_INTERVAL;
         sleep(TICK_INTERVAL).await;
         router.record_timer_lag(due.elapsed());
         router.record_activity();
         router.check_for_suspension();
-        send_tick(&router, &socket, &store).await;
+        send_tick(&router, &socket).await;
         router.apply_peer_loads();
         router.update_slow_start();
         router.evaluate_rollouts();
@@ -165,13 +164,13 @@
 
 /// Pushes changes to a few peers at once, and bootstrap pushes to uninitialized peers; never
 /// returns.
-pub async fn push_updates(router: Rc<Router>, socket: Rc<UdpSocket>, store: Rc<StoreMonitor>) {
+pub async fn push_updates(router: Rc<Router>, socket: Rc<UdpSocket>) {
     loop {
         let spread = tokio::select! {
             () = router.push_due.notified() => true,
             () = router.bootstrap_push_due.notified() => false,
         };
-        let own = own_gossip(&router, &store);
+        let own = own_gossip(&router);
         let outgoing = {
             let mut peers = router.peers.borrow_mut();
             peers.push(&own, spread, &mut rand::rng())
@@ -181,14 +180,14 @@
     }
 }
 
-fn own_gossip(router: &Router, store: &StoreMonitor) -> OwnGossip {
+fn own_gossip(router: &Router) -> OwnGossip {
     let now = router.now();
     let has_short_round = router.peers.borrow().has_short_round();
     OwnGossip {
         configuration: router.configuration_version(),
         directory: router.directory_revision(),
         serving: router.is_ready(),
-        directory_steady: store.is_steady(now) && router.directory_is_watched(),
+        directory_steady: router.store.is_steady(now) && router.directory_is_watched(),
         in_flight: router.back_ends.borrow().own_loads(has_short_round, now),
         reported_loads: if has_short_round {
             Vec::new()
@@ -200,8 +199,8 @@
     }
 }
 
-async fn send_tick(router: &Router, socket: &UdpSocket, store: &StoreMonitor) {
-    let own = own_gossip(router, store);
+async fn send_tick(router: &Router, socket: &UdpSocket) {
+    let own = own_gossip(router);
     let outgoing = router.peers.borrow_mut().tick(&own, router.now());
     send(router, socket, outgoing).await;
 }
--- a/crates/stacktack-direct/src/lib.rs
+++ b/crates/stacktack-direct/src/lib.rs
@@ -22,7 +22,7 @@
 //!   `request_body` keeps bodies for attempts, and [`memory`] accounts for what slow readers take.
 //! - Work: [`work`] estimates the work of requests at candidates and learns from responses.
 //! - State from elsewhere: [`followers`] keep configuration, directory and verdicts current, and
-//!   `freshness` tracks how new they are. [`calls`] and [`transfer`] track calls in flight and the
+//!   `freshness` tracks how new they are, and [`store_monitor`] whether the store answers. [`calls`] and [`transfer`] track calls in flight and the
 //!   progress of their responses. [`gossip`] and [`datagram`] exchange gossip with other routers,
 //!   and [`peer_updates`] sends them configuration and directory on request.
 
@@ -66,6 +66,7 @@
 pub mod settings;
 pub mod source_error;
 pub mod stopping;
+pub mod store_monitor;
 pub mod stream_versions;
 mod suspension;
 pub mod transfer;
--- a/crates/stacktack-direct/src/respond.rs
+++ b/crates/stacktack-direct/src/respond.rs
@@ -170,7 +170,7 @@
 /// names no time.
 fn early_retry_after(router: &Router, kind: RefusalKind) -> Option<Duration> {
     match kind {
-        RefusalKind::NotReady if router.store_lost.get() => Some(OUTAGE_RETRY_AFTER),
+        RefusalKind::NotReady if router.store.is_lost() => Some(OUTAGE_RETRY_AFTER),
         RefusalKind::NotReady => Some(NOT_READY_RETRY_AFTER),
         RefusalKind::MemorySpent => Some(RETRY_AFTER),
         RefusalKind::Stopping if router.peers.borrow().any_serving() => Some(RETRY_AFTER),
--- a/crates/stacktack-direct/src/router.rs
+++ b/crates/stacktack-direct/src/router.rs
@@ -50,6 +50,7 @@
 use crate::metrics::DirectMetrics;
 use crate::ports::Protocol;
 use crate::settings::{Bounds, DirectSettings};
+use crate::store_monitor::StoreMonitor;
 
 /// Progress of a process towards its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -187,8 +188,8 @@
     pub(crate) connections_flushing: Cell<usize>,
     /// How long recent requests took, by route.
     pub(crate) run_times: RefCell<HashMap<String, RunTimes>>,
-    /// Whether the store does not answer.
-    pub store_lost: Cell<bool>,
+    /// Availability and latency of the store.
+    pub store: StoreMonitor,
     /// Requests that are being handled; their bodies have been read.
     pub requests_in_flight: Cell<usize>,
     /// Open connections of callers.
@@ -225,6 +226,7 @@
         protocol: Rc<dyn Protocol>,
         metrics: DirectMetrics,
         clock: Rc<dyn Clock>,
+        store: StoreMonitor,
     ) -> Self {
         let start = clock.read();
         let peers = Peers::new(
@@ -292,7 +294,7 @@
             requests_being_read: Cell::new(0),
             connections_flushing: Cell::new(0),
             run_times: RefCell::default(),
-            store_lost: Cell::new(false),
+            store,
             requests_in_flight: Cell::new(0),
             open_connections: Cell::new(0),
             clock,
--- a/crates/stacktack-direct/src/followers/store_monitor.rs
+++ b/crates/stacktack-direct/src/store_monitor.rs
@@ -1,4 +1,4 @@
-//! Availability and response latency of the store, shared by all tasks that call it.
+//! Availability and response latency of the store, as this router believes them.
 
 use std::cell::{Cell, RefCell};
 use std::time::Duration;
@@ -13,7 +13,6 @@
 
 /// Tracks whether the store answers and how late, and notifies waiting tasks when it recovers.
 pub struct StoreMonitor {
-    name: &'static str,
     availability: RefCell<DirectorySource>,
     timeout: Cell<AdaptiveTimeout>,
     recovered: Notify,
@@ -21,9 +20,8 @@
 
 impl StoreMonitor {
     /// Monitor of a store that is assumed to answer.
-    pub fn new(name: &'static str) -> Result<Self, ChartError> {
+    pub fn new() -> Result<Self, ChartError> {
         Ok(StoreMonitor {
-            name,
             availability: RefCell::new(DirectorySource::new()?),
             timeout: Cell::default(),
             recovered: Notify::new(),
@@ -32,42 +30,43 @@
 
     /// Lateness after which a call counts as unanswered. `at_start` selects the shorter minimum for
     /// a router that knows nothing yet.
-    pub(super) fn timeout(&self, at_start: bool) -> Duration {
+    pub(crate) fn timeout(&self, at_start: bool) -> Duration {
         self.timeout.get().timeout(at_start)
     }
 
     /// Largest recent lateness of responses, decaying with each response that is less late.
-    pub(super) fn lateness(&self) -> Duration {
+    pub(crate) fn lateness(&self) -> Duration {
         self.timeout.get().lateness()
     }
 
     /// Records how long after it was due a call was answered.
-    pub(super) fn record_lateness(&self, lateness: Duration) {
+    pub(crate) fn record_lateness(&self, lateness: Duration) {
         let mut timeout = self.timeout.get();
         timeout.on_answer(lateness);
         self.timeout.set(timeout);
     }
 
     /// Waits until the store answers again after it was lost.
-    pub(super) async fn recovered(&self) {
+    pub(crate) async fn recovered(&self) {
         self.recovered.notified().await;
     }
 
-    pub(super) fn on_answer(&self, now: Time) {
+    /// Records an answer about the directory to this router.
+    pub(crate) fn on_answer(&self, now: Time) {
         if let Some(lost_for) = self.availability.borrow_mut().on_answer(now) {
             log::info!(
                 target: "dependency",
-                "name={} regained=true after_ms={}",
-                self.name,
+                "name=store regained=true after_ms={}",
                 lost_for.as_millis()
             );
             self.recovered.notify_waiters();
         }
     }
 
-    pub(super) fn on_failure(&self, now: Time, error: SourceError) {
+    /// Records a call of this router about the directory that failed or was not answered in time.
+    pub(crate) fn on_failure(&self, now: Time, error: SourceError) {
         if self.availability.borrow_mut().on_failure(now) {
-            log::warn!(target: "dependency", "name={} lost=true cause=\"{error}\"", self.name);
+            log::warn!(target: "dependency", "name=store lost=true cause=\"{error}\"");
         }
     }
 
--- a/crates/stacktack-direct/tests/common/mod.rs
+++ b/crates/stacktack-direct/tests/common/mod.rs
@@ -16,6 +16,7 @@
 };
 use stacktack_direct::router::Router;
 use stacktack_direct::settings::{Bounds, DirectSettings, PeerSettings};
+use stacktack_direct::store_monitor::StoreMonitor;
 use stacktack_node::metrics::Metrics;
 use tokio::time::sleep;
 
@@ -81,7 +82,7 @@
     let instruments = DirectMetrics::new(&metrics.meter());
     let protocol = Rc::new(RefusingProtocol::default());
     let clock = Rc::new(RuntimeClock::start());
-    Rc::new(Router::new(settings, protocol, instruments, clock))
+    Rc::new(Router::new(settings, protocol, instruments, clock, store()))
 }
 
 /// Creates a router whose settings contain the given seed routers.
@@ -127,7 +128,12 @@
     let settings = settings(seeds, memory);
     let metrics = Metrics::new().expect("metrics");
     let instruments = DirectMetrics::new(&metrics.meter());
-    Rc::new(Router::new(settings, Rc::new(protocol), instruments, clock))
+    let protocol = Rc::new(protocol);
+    Rc::new(Router::new(settings, protocol, instruments, clock, store()))
+}
+
+fn store() -> StoreMonitor {
+    StoreMonitor::new().expect("chart")
 }
 
 fn settings(seeds: &[SocketAddr], memory: Option<MemoryBudget>) -> DirectSettings {
--- a/crates/stacktack-direct/tests/configuration_in_force/main.rs
+++ b/crates/stacktack-direct/tests/configuration_in_force/main.rs
@@ -31,7 +31,7 @@
 
 use stacktack_core::direct::back_ends::directory::DirectoryDelta;
 use stacktack_core::direct::sources::directory_source::RemovalEvidence;
-use stacktack_direct::followers::{apply_delta, StoreMonitor};
+use stacktack_direct::followers::apply_delta;
 use stacktack_direct::router::Router;
 use tokio::time::sleep;
 
@@ -49,7 +49,7 @@
         let link = Link::new(WIDE_BYTES_PER_SECOND);
         let store = Store::new(link.clone(), Duration::from_millis(5));
         store.confirm();
-        let script = |router: Rc<Router>, _: Rc<StoreMonitor>| {
+        let script = |router: Rc<Router>| {
             let store = store.clone();
             async move {
                 after(3000).await;
@@ -81,7 +81,7 @@
 async fn missed_versions_are_not_read_one_by_one() {
     let store = Store::new(Link::new(WIDE_BYTES_PER_SECOND), Duration::from_millis(5));
     store.confirm();
-    let script = |router: Rc<Router>, _: Rc<StoreMonitor>| {
+    let script = |router: Rc<Router>| {
         let store = store.clone();
         async move {
             after(1000).await;
@@ -111,7 +111,7 @@
             Duration::from_millis(latency),
         );
         store.confirm();
-        let script = |router: Rc<Router>, _: Rc<StoreMonitor>| async move {
+        let script = |router: Rc<Router>| async move {
             after(latency + 1500).await;
             assert_eq!(router.configuration_version(), 1, "at {latency} ms");
         };
@@ -127,7 +127,7 @@
     let store = Store::new(Link::new(NARROW_BYTES_PER_SECOND), Duration::from_millis(5));
     store.link.bytes_per_second.set(WIDE_BYTES_PER_SECOND);
     store.confirm();
-    let script = |router: Rc<Router>, monitor: Rc<StoreMonitor>| {
+    let script = |router: Rc<Router>| {
         let store = store.clone();
         async move {
             after(3000).await;
@@ -147,7 +147,7 @@
             };
             let transfers = Duration::from_secs(2);
             assert!(longest <= latency * 2 + transfers, "{longest:?} late");
-            assert!(!monitor.is_lost());
+            assert!(!router.store.is_lost());
         }
     };
     follow(&store, None, script).await;
@@ -158,7 +158,7 @@
 async fn a_document_over_a_narrow_link_arrives_in_one_transfer() {
     let store = Store::new(Link::new(200_000.0), Duration::from_millis(5));
     store.confirm();
-    let script = |router: Rc<Router>, _: Rc<StoreMonitor>| async move {
+    let script = |router: Rc<Router>| async move {
         after(2500).await;
         assert_eq!(router.configuration_version(), 1);
     };
@@ -172,7 +172,7 @@
     let store = Store::new(link.clone(), Duration::from_millis(5));
     store.confirm();
     store.set_reachable(false);
-    let script = |router: Rc<Router>, _: Rc<StoreMonitor>| async move {
+    let script = |router: Rc<Router>| async move {
         after(4000).await;
         assert_eq!(router.configuration_version(), 1);
     };
@@ -186,7 +186,7 @@
         Link::new(NARROW_BYTES_PER_SECOND),
         Duration::from_millis(1360),
     );
-    let script = |router: Rc<Router>, _: Rc<StoreMonitor>| async move {
+    let script = |router: Rc<Router>| async move {
         after(2500).await;
         assert_eq!(router.received_directory_revision.get(), 1);
     };
@@ -200,7 +200,7 @@
     let store = Store::new(Link::new(WIDE_BYTES_PER_SECOND), Duration::from_millis(5));
     store.confirm();
     store.unanswered_calls.set(2);
-    let script = |router: Rc<Router>, _: Rc<StoreMonitor>| async move {
+    let script = |router: Rc<Router>| async move {
         after(2500).await;
         assert_eq!(router.configuration_version(), 1);
     };
@@ -214,7 +214,7 @@
     let link = Link::new(WIDE_BYTES_PER_SECOND);
     let store = Store::new(link.clone(), Duration::from_millis(5));
     store.confirm();
-    let script = |router: Rc<Router>, _: Rc<StoreMonitor>| {
+    let script = |router: Rc<Router>| {
         let store = store.clone();
         async move {
             after(1000).await;
@@ -241,7 +241,7 @@
     let link = Link::new(NARROW_BYTES_PER_SECOND);
     let store = Store::new(link.clone(), Duration::from_millis(5));
     store.confirm();
-    let script = |router: Rc<Router>, _: Rc<StoreMonitor>| {
+    let script = |router: Rc<Router>| {
         let (store, link) = (store.clone(), link.clone());
         async move {
             after(3000).await;
@@ -270,7 +270,7 @@
     store.set_reachable(false);
     let peer = Peer::new(link);
     let peer_router = peer.router.clone();
-    let script = |router: Rc<Router>, _: Rc<StoreMonitor>| async move {
+    let script = |router: Rc<Router>| async move {
         after(1500).await;
         let delta = DirectoryDelta {
             revision: 7,
@@ -296,7 +296,7 @@
 async fn a_call_that_is_never_answered_delays_updates_by_seconds_only() {
     let store = Store::new(Link::new(WIDE_BYTES_PER_SECOND), Duration::from_millis(5));
     store.confirm();
-    let script = |router: Rc<Router>, _: Rc<StoreMonitor>| {
+    let script = |router: Rc<Router>| {
         let store = store.clone();
         async move {
             after(500).await;
@@ -324,7 +324,7 @@
         let link = Link::new(WIDE_BYTES_PER_SECOND);
         let store = Store::new(link, Duration::from_millis(5));
         store.confirm();
-        let script = |router: Rc<Router>, _: Rc<StoreMonitor>| {
+        let script = |router: Rc<Router>| {
             let store = store.clone();
             async move {
                 after(2000).await;
@@ -351,7 +351,7 @@
         let store = Store::new(link.clone(), Duration::from_millis(5));
         store.confirm();
         let peer = Peer::new(link);
-        let script = |router: Rc<Router>, _: Rc<StoreMonitor>| {
+        let script = |router: Rc<Router>| {
             let (store, peer) = (store.clone(), peer.clone());
             async move {
                 after(5000).await;
--- a/crates/stacktack-direct/tests/configuration_in_force/simulation.rs
+++ b/crates/stacktack-direct/tests/configuration_in_force/simulation.rs
@@ -13,9 +13,7 @@
 use stacktack_core::direct::traffic::route::{
     Route, RouteKind, RouteTable, Target, TrafficConfiguration,
 };
-use stacktack_direct::followers::{
-    fetch_from_peers, follow_configuration, follow_directory, StoreMonitor,
-};
+use stacktack_direct::followers::{fetch_from_peers, follow_configuration, follow_directory};
 use stacktack_direct::peer_updates::{respond_to_peer, PeerQuery, PeerSource, PeerUpdate};
 use stacktack_direct::ports::{
     ConfigurationSource, ConfigurationUpdate, Directory, DirectoryUpdate, LocalBoxFuture,
@@ -389,12 +387,11 @@
 pub async fn follow<F: std::future::Future<Output = ()>>(
     store: &Rc<Store>,
     peer: Option<Rc<Peer>>,
-    script: impl FnOnce(Rc<Router>, Rc<StoreMonitor>) -> F,
+    script: impl FnOnce(Rc<Router>) -> F,
 ) {
     let router = router();
-    let monitor = Rc::new(StoreMonitor::new("store").expect("chart"));
-    let configuration = follow_configuration(router.clone(), store.clone(), monitor.clone());
-    let directory = follow_directory(router.clone(), store.clone(), monitor.clone());
+    let configuration = follow_configuration(router.clone(), store.clone());
+    let directory = follow_directory(router.clone(), store.clone());
     let peers = async {
         let Some(peer) = peer else {
             return std::future::pending().await;
@@ -409,7 +406,7 @@
         () = configuration => {}
         () = directory => {}
         () = peers => {}
-        () = script(router.clone(), monitor.clone()) => {}
+        () = script(router.clone()) => {}
     }
 }
 
--- a/crates/stacktack-direct/tests/followers/departures_in_time.rs
+++ b/crates/stacktack-direct/tests/followers/departures_in_time.rs
@@ -27,7 +27,7 @@
 use std::time::Duration;
 
 use stacktack_core::direct::traffic::route::TrafficConfiguration;
-use stacktack_direct::followers::{fetch_from_peers, follow_directory, StoreMonitor};
+use stacktack_direct::followers::{fetch_from_peers, follow_directory};
 use stacktack_direct::peer_updates::{PeerQuery, PeerSource, PeerUpdate};
 use stacktack_direct::ports::{Directory, DirectoryUpdate, LocalBoxFuture, SourceError};
 use stacktack_direct::router::Router;
@@ -52,9 +52,8 @@
         directory.set(id, true);
     }
     let router = router();
-    let store = Rc::new(StoreMonitor::new("store").expect("chart"));
     tokio::select! {
-        () = follow_directory(router.clone(), directory.clone(), store) => {}
+        () = follow_directory(router.clone(), directory.clone()) => {}
         () = gossip_from_peers(router.clone(), || true) => {}
         () = script(directory, router.clone()) => {}
     }
@@ -165,16 +164,14 @@
     for id in ["a", "b"] {
         pair.directory.set(id, true);
     }
-    let store = || Rc::new(StoreMonitor::new("store").expect("chart"));
-    let (own_store, peer_store) = (store(), store());
     let source = Rc::new(source(pair.peer.clone()));
     let directory = Rc::new(RefusingDirectory(
         pair.directory.clone(),
         pair.refuses_router.clone(),
     ));
     tokio::select! {
-        () = follow_directory(pair.router.clone(), directory, own_store.clone()) => {}
-        () = follow_directory(pair.peer.clone(), pair.directory.clone(), peer_store) => {}
+        () = follow_directory(pair.router.clone(), directory) => {}
+        () = follow_directory(pair.peer.clone(), pair.directory.clone()) => {}
         () = fetch_from_peers(pair.router.clone(), source) => {}
         () = script(pair.clone()) => {}
     }
@@ -344,7 +341,6 @@
         version: 1,
         ..TrafficConfiguration::default()
     }));
-    let store = Rc::new(StoreMonitor::new("store").expect("chart"));
     let outage_start = Instant::now() + Duration::from_millis(6000 + lead_ms);
     // The outage also affects the peers, and they notice its end no sooner than the router.
     let steady = || Instant::now() < outage_start + gossip_delay;
@@ -364,6 +360,6 @@
     tokio::select! {
         delay = script => delay,
         () = gossip_from_peers(router.clone(), steady) => unreachable!("endless"),
-        () = follow_directory(router.clone(), directory.clone(), store) => unreachable!("endless"),
+        () = follow_directory(router.clone(), directory.clone()) => unreachable!("endless"),
     }
 }
--- a/crates/stacktack-direct/tests/followers/main.rs
+++ b/crates/stacktack-direct/tests/followers/main.rs
@@ -16,7 +16,7 @@
 
 use stacktack_core::direct::peers::source_age::{EncodedAge, SourceAges, SourceRead, SourceReads};
 use stacktack_core::direct::sources::directory_source::RemovalEvidence;
-use stacktack_direct::followers::{apply_delta, follow_directory, StoreMonitor};
+use stacktack_direct::followers::{apply_delta, follow_directory};
 use stacktack_direct::router::Router;
 
 use common::{after, router};
@@ -31,8 +31,7 @@
     directory.set("a", true);
     directory.set("b", true);
     let router = router();
-    let store = Rc::new(StoreMonitor::new("store").expect("chart"));
-    let following = follow_directory(router.clone(), directory.clone(), store);
+    let following = follow_directory(router.clone(), directory.clone());
     let script = async {
         after(1000).await;
         assert!(knows_back_end(&router, "a") && knows_back_end(&router, "b"));
--- a/crates/stacktack-direct/tests/followers/simultaneous_starts.rs
+++ b/crates/stacktack-direct/tests/followers/simultaneous_starts.rs
@@ -21,7 +21,6 @@
 
 use crate::common::{after, router, router_with_seeds};
 use crate::scripted_directory::ScriptedDirectory;
-use crate::starts::store;
 use crate::steady_peer::steady_peer_gossip;
 
 /// Time that the transfer of a snapshot of the directory takes.
@@ -82,7 +81,7 @@
     }
     let first = router();
     tokio::select! {
-        () = follow_directory(first.clone(), directory, store()) => {}
+        () = follow_directory(first.clone(), directory) => {}
         () = after(100) => {}
     }
     let starting = (0..STARTING).map(|_| router_with_seeds(&[address(0)]));
--- a/crates/stacktack-direct/tests/followers/starts.rs
+++ b/crates/stacktack-direct/tests/followers/starts.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use stacktack_direct::followers::{fetch_from_peers, follow_directory, StoreMonitor};
+use stacktack_direct::followers::{fetch_from_peers, follow_directory};
 use stacktack_direct::peer_updates::{PeerQuery, PeerSource, PeerUpdate};
 use stacktack_direct::ports::{Directory, DirectoryUpdate, LocalBoxFuture, SourceError};
 use stacktack_direct::router::Router;
@@ -52,10 +52,6 @@
     }
 }
 
-pub fn store() -> Rc<StoreMonitor> {
-    Rc::new(StoreMonitor::new("store").expect("chart"))
-}
-
 fn knows_back_end(router: &Router, id: &str) -> bool {
     router.back_ends.borrow().get(id).is_some()
 }
@@ -90,14 +86,14 @@
         };
         tokio::select! {
             () = start => {}
-            () = follow_directory(starting.clone(), counting.clone(), store()) => {}
+            () = follow_directory(starting.clone(), counting.clone()) => {}
             () = fetch_from_peers(starting.clone(), Rc::new(ServingPeer(serving.clone()))) => {}
             () = send_gossip(serving.clone(), starting.clone()) => {}
         }
     };
     tokio::select! {
         () = script => {}
-        () = follow_directory(serving.clone(), directory.clone(), store()) => {}
+        () = follow_directory(serving.clone(), directory.clone()) => {}
     }
     assert_eq!(counting.calls.get(), 0);
 }
@@ -161,8 +157,8 @@
     };
     tokio::select! {
         () = script => {}
-        () = follow_directory(serving.clone(), directory.clone(), store()) => {}
-        () = follow_directory(starting.clone(), directory.clone(), store()) => {}
+        () = follow_directory(serving.clone(), directory.clone()) => {}
+        () = follow_directory(starting.clone(), directory.clone()) => {}
         () = fetch_from_peers(starting.clone(), source) => {}
         () = send_gossip(serving.clone(), starting.clone()) => {}
     }
@@ -176,7 +172,7 @@
         directory.set("a", true);
         let starting = router_with_seeds(&[SEED]);
         tokio::select! {
-            () = follow_directory(starting.clone(), directory.clone(), store()) => {}
+            () = follow_directory(starting.clone(), directory.clone()) => {}
             () = after(650) => {}
         }
         assert!(knows_back_end(&starting, "a"));
@@ -190,7 +186,7 @@
     directory.set("a", true);
     let starting = router_with_seeds(&[SEED, SocketAddr::from(([127, 0, 0, 1], 9))]);
     tokio::select! {
-        () = follow_directory(starting.clone(), directory.clone(), store()) => {}
+        () = follow_directory(starting.clone(), directory.clone()) => {}
         () = after(10) => {}
     }
     assert!(knows_back_end(&starting, "a"));
--- a/crates/stacktack-direct/tests/rollouts.rs
+++ b/crates/stacktack-direct/tests/rollouts.rs
@@ -20,7 +20,7 @@
 use stacktack_core::direct::rollout::status::{
     StatusWrite, StatusWriteResult, StoredState, StoredStatus,
 };
-use stacktack_direct::followers::{write_rollout_statuses, StoreMonitor};
+use stacktack_direct::followers::write_rollout_statuses;
 use stacktack_direct::ports::{
     LocalBoxFuture, RefusedOrder, RolloutOrderUpdate, RolloutStore, SourceError,
 };
@@ -128,12 +128,7 @@
 
 /// Starts the tasks that write the status to the store and evaluate the roll-outs.
 fn start_tasks(router: &Rc<Router>, store: &Rc<Store>) {
-    let monitor = Rc::new(StoreMonitor::new("store").expect("a chart"));
-    tokio::task::spawn_local(write_rollout_statuses(
-        router.clone(),
-        store.clone(),
-        monitor,
-    ));
+    tokio::task::spawn_local(write_rollout_statuses(router.clone(), store.clone()));
     let router = router.clone();
     tokio::task::spawn_local(async move {
         loop {
--- a/crates/stacktack-direct/tests/suspension.rs
+++ b/crates/stacktack-direct/tests/suspension.rs
@@ -11,7 +11,7 @@
 use stacktack_core::direct::back_ends::directory::{BackEndEntry, DirectoryChange};
 use stacktack_core::time::Time;
 use stacktack_direct::clock::{Clock, RuntimeClock};
-use stacktack_direct::followers::{follow_directory, StoreMonitor};
+use stacktack_direct::followers::follow_directory;
 use stacktack_direct::ports::{Directory, DirectoryUpdate, LocalBoxFuture, SourceError};
 use stacktack_direct::router::Router;
 use stacktack_direct::transfer::Transfer;
@@ -147,25 +147,23 @@
     let local = tokio::task::LocalSet::new();
     let test = async {
         let (clock, router) = suspendable_router();
-        let store = Rc::new(StoreMonitor::new("store").expect("a chart"));
         let directory = Rc::new(QuietDirectory::default());
-        tokio::task::spawn_local(follow_directory(
-            router.clone(),
-            directory.clone(),
-            store.clone(),
-        ));
+        tokio::task::spawn_local(follow_directory(router.clone(), directory.clone()));
         after(300).await;
         let calls = directory.calls.get();
-        assert!(store.is_steady(router.now()));
+        assert!(router.store.is_steady(router.now()));
         clock.suspend(SUSPENSION);
         router.check_for_suspension();
         assert!(router.awaits_contact());
         after(10).await;
         assert_eq!(directory.calls.get(), calls + 1);
         assert!(!router.awaits_contact(), "the store answered");
-        assert!(!store.is_steady(router.now()), "entries may have expired");
+        assert!(
+            !router.store.is_steady(router.now()),
+            "entries may have expired"
+        );
         after(2500).await;
-        assert!(store.is_steady(router.now()));
+        assert!(router.store.is_steady(router.now()));
     };
     local.run_until(test).await;
 }
--- a/crates/stacktack-direct/tests/verdicts.rs
+++ b/crates/stacktack-direct/tests/verdicts.rs
@@ -16,7 +16,7 @@
 use stacktack_core::direct::quarantine::stored_verdicts::StoredVerdict;
 use stacktack_core::direct::quarantine::suspects::{CallerHash, Suspects};
 use stacktack_core::direct::stream_versions::software_version::SoftwareVersion;
-use stacktack_direct::followers::{sync_verdicts, StoreMonitor};
+use stacktack_direct::followers::sync_verdicts;
 use stacktack_direct::ports::{LocalBoxFuture, SourceError, VerdictStore};
 use stacktack_direct::router::Router;
 use stacktack_direct::transfer::Transfer;
@@ -127,8 +127,7 @@
 }
 
 fn start(router: &Rc<Router>, store: &Rc<Store>) {
-    let monitor = Rc::new(StoreMonitor::new("store").expect("a chart"));
-    tokio::task::spawn_local(sync_verdicts(router.clone(), store.clone(), monitor));
+    tokio::task::spawn_local(sync_verdicts(router.clone(), store.clone()));
 }
 
 async fn run_local(test: impl Future<Output = ()>) {
--- a/crates/stacktack-direct/tests/zone_drains.rs
+++ b/crates/stacktack-direct/tests/zone_drains.rs
@@ -18,7 +18,7 @@
 use stacktack_core::direct::back_ends::slow_start::SlowStart;
 use stacktack_core::direct::back_ends::zone_drain::{ZoneDrain, ZoneDrainUpdate};
 use stacktack_core::direct::traffic::route::TrafficConfiguration;
-use stacktack_direct::followers::{follow_configuration, read_missed_zone_drains, StoreMonitor};
+use stacktack_direct::followers::{follow_configuration, read_missed_zone_drains};
 use stacktack_direct::ports::{
     ConfigurationSource, ConfigurationUpdate, LocalBoxFuture, RolloutOrderUpdate, SourceError,
 };
@@ -205,10 +205,9 @@
         let mut back_ends = router.back_ends.borrow_mut();
         back_ends.upsert(entry(id, zone), router.now(), &mut change);
     }
-    let store = Rc::new(StoreMonitor::new("store").expect("chart"));
     tokio::select! {
-        () = follow_configuration(router.clone(), operator.clone(), store.clone()) => {}
-        () = read_missed_zone_drains(router.clone(), operator.clone(), store.clone()) => {}
+        () = follow_configuration(router.clone(), operator.clone()) => {}
+        () = read_missed_zone_drains(router.clone(), operator.clone()) => {}
         () = script(operator, router) => {}
     }
 }
@@ -268,9 +267,8 @@
     operator.configure();
     operator.drain("b", true);
     let router = router();
-    let store = Rc::new(StoreMonitor::new("store").expect("chart"));
     tokio::select! {
-        () = follow_configuration(router.clone(), operator.clone(), store.clone()) => {}
+        () = follow_configuration(router.clone(), operator.clone()) => {}
         () = after(DRAIN_APPLY_MS) => {}
     }
     assert_eq!(router.configuration_version(), 1);
