--- a/crates/stacktack-direct/src/followers/directory.rs
+++ b/crates/stacktack-direct/src/followers/directory.rs
@@ -97,9 +97,10 @@
     fn poll(&mut self, cause: &'static str, calls: &mut HedgedCalls<'_, DirectoryUpdate>) {
         log::info!(
             target: "directory",
-            "look=true cause={cause} age_ms={} revision={}",
+            "look=true cause={cause} age_ms={} revision={} lateness_ms={}",
             self.router.directory_age_text(),
             self.router.received_directory_revision.get(),
+            self.router.store.lateness().as_millis(),
         );
         self.polls.request_poll(cause, &self.router);
         calls.schedule(Duration::ZERO);
@@ -278,6 +279,23 @@
             RemovalEvidence::Insufficient
         };
         apply_delta(&self.router, update.delta, update.revision, evidence);
+        if evidence == RemovalEvidence::Insufficient && self.has_pending_removals() {
+            self.log_pending(now);
+        }
+    }
+
+    /// Logs what keeps removals pending.
+    fn log_pending(&self, now: Time) {
+        let freshness = self.knowledge().freshness();
+        log::info!(
+            target: "directory",
+            "held={} store_lost={} store_steady={} gap={} answered_at_ms={}",
+            self.router.pending_removals.borrow().len(),
+            self.router.store.is_lost(),
+            self.router.store.is_steady(now),
+            !self.router.directory_had_no_gap(),
+            freshness.answered_at_ms(),
+        );
     }
 }
 
--- a/crates/stacktack-direct/src/gossip.rs
+++ b/crates/stacktack-direct/src/gossip.rs
@@ -1,4 +1,4 @@
-//! Sends gossip to other routers and receives theirs, as UDP datagrams.
+//! Sends gossip to other routers and receives theirs, in datagrams.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -10,10 +10,10 @@
 use stacktack_core::direct::peers::{OutgoingDatagram, MAX_DATAGRAM_BYTES};
 use stacktack_core::direct::quarantine::record::RecordGossip;
 use stacktack_core::direct::work::gossip::{merge_backlogs, newest_backlogs};
-use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
 use crate::datagram::{decode, encode_with, OptionalContent, WorkGossip};
+use crate::datagram_socket::DatagramSocket;
 use crate::router::Router;
 use crate::stream_versions::is_stream_datagram;
 
@@ -30,17 +30,17 @@
 const MAX_RECOVERIES: usize = 16;
 
 /// Receives and applies datagrams from peers; never returns.
-pub async fn receive(router: Rc<Router>, socket: Rc<UdpSocket>) {
+pub async fn receive(router: Rc<Router>, socket: Rc<impl DatagramSocket>) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
-        let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
+        let Ok((length, from)) = socket.receive_datagram(&mut buffer).await else {
             sleep(TICK_INTERVAL).await;
             continue;
         };
         if is_stream_datagram(&buffer[..length]) {
             if let Some(response) = router.on_stream_datagram(from, &buffer[..length]) {
                 // A response that cannot be sent counts as lost.
-                let _ = socket.send_to(&response, from).await;
+                let _ = socket.send_datagram(&response, from).await;
             }
             continue;
         }
@@ -147,15 +147,15 @@
 
 /// Runs gossip rounds: sends datagrams at each tick and updates the state that depends on what
 /// peers gossiped; never returns.
-pub async fn run_rounds(router: Rc<Router>, socket: Rc<UdpSocket>) {
-    send_tick(&router, &socket).await;
+pub async fn run_rounds(router: Rc<Router>, socket: Rc<impl DatagramSocket>) {
+    send_tick(&router, socket.as_ref()).await;
     loop {
         let due = Instant::now() + TICK_INTERVAL;
         sleep(TICK_INTERVAL).await;
         router.record_timer_lag(due.elapsed());
         router.record_activity();
         router.check_for_suspension();
-        send_tick(&router, &socket).await;
+        send_tick(&router, socket.as_ref()).await;
         router.apply_peer_loads();
         router.update_slow_start();
         router.evaluate_rollouts();
@@ -164,7 +164,7 @@
 
 /// Pushes changes to a few peers at once, and bootstrap pushes to uninitialized peers; never
 /// returns.
-pub async fn push_updates(router: Rc<Router>, socket: Rc<UdpSocket>) {
+pub async fn push_updates(router: Rc<Router>, socket: Rc<impl DatagramSocket>) {
     loop {
         let spread = tokio::select! {
             () = router.push_due.notified() => true,
@@ -175,7 +175,7 @@
             let mut peers = router.peers.borrow_mut();
             peers.push(&own, spread, &mut rand::rng())
         };
-        send(&router, &socket, outgoing).await;
+        send(&router, socket.as_ref(), outgoing).await;
         sleep(MIN_PUSH_INTERVAL).await;
     }
 }
@@ -199,13 +199,13 @@
     }
 }
 
-async fn send_tick(router: &Router, socket: &UdpSocket) {
+async fn send_tick(router: &Router, socket: &impl DatagramSocket) {
     let own = own_gossip(router);
     let outgoing = router.peers.borrow_mut().tick(&own, router.now());
     send(router, socket, outgoing).await;
 }
 
-async fn send(router: &Router, socket: &UdpSocket, outgoing: Vec<OutgoingDatagram>) {
+async fn send(router: &Router, socket: &impl DatagramSocket, outgoing: Vec<OutgoingDatagram>) {
     let ages = router.source_ages();
     let reads = router.source_reads();
     let records = router.quarantine.borrow_mut().gossip(router.now());
@@ -231,6 +231,6 @@
         };
         router.peers.borrow_mut().on_sent(bytes.len());
         // A datagram that cannot be sent counts as lost, like any other lost datagram.
-        let _ = socket.send_to(&bytes, datagram.to).await;
+        let _ = socket.send_datagram(&bytes, datagram.to).await;
     }
 }
--- a/crates/stacktack-direct/src/lib.rs
+++ b/crates/stacktack-direct/src/lib.rs
@@ -23,7 +23,7 @@
 //! - Work: [`work`] estimates the work of requests at candidates and learns from responses.
 //! - State from elsewhere: [`followers`] keep configuration, directory and verdicts current, and
 //!   `freshness` tracks how new they are, and [`store_monitor`] whether the store answers. [`calls`] and [`transfer`] track calls in flight and the
-//!   progress of their responses. [`gossip`] and [`datagram`] exchange gossip with other routers,
+//!   progress of their responses. [`gossip`], [`datagram`] and [`datagram_socket`] exchange gossip with other routers,
 //!   and [`peer_updates`] sends them configuration and directory on request.
 
 mod admission;
@@ -40,6 +40,7 @@
 mod count_guard;
 mod crash_detection;
 pub mod datagram;
+pub mod datagram_socket;
 mod exchange;
 pub mod followers;
 mod freshness;
--- a/crates/stacktack-direct/tests/common/mod.rs
+++ b/crates/stacktack-direct/tests/common/mod.rs
@@ -85,6 +85,17 @@
     Rc::new(Router::new(settings, protocol, instruments, clock, store()))
 }
 
+/// Sets the time within which a router has to act on a departure.
+#[allow(
+    dead_code,
+    reason = "not all tests that share this module set the bound"
+)]
+pub fn set_drain_timeout(router: &Router, drain_timeout: Duration) {
+    let mut changed = router.settings.clone();
+    changed.bounds.drain_timeout = drain_timeout;
+    router.reload(&changed);
+}
+
 /// Creates a router whose settings contain the given seed routers.
 #[allow(dead_code, reason = "not all tests that share this module use seeds")]
 pub fn router_with_seeds(seeds: &[SocketAddr]) -> Rc<Router> {
