A peer's answer from the store ends this router's loss of it

Cause: a router that lost the store in an outage counted it as lost until a call of its own was answered. After the outage one router reads for all and the others make no calls. When the reader froze, the first answer of whoever took over counted as the return of the store and held removals back for 2.2 s. The peers' reports of later answers were taken as knowledge of the directory, and not as evidence about the store; and a router with pending removals, as each has right after an outage, reported no answers at all.

Why this works: an answer is an answer whoever got it. It is dated by the clock of the store, so that one from before the loss, or one that gossip delayed, does not end it; if the store serves some routers only, those that it turns away lose it again with their next call. Gaps between answers are found by what any router heard of. Followers wait anew when the belief changes, since a lost store is not polled.

--- a/crates/stacktack-core/src/direct/sources/directory_source.rs
+++ b/crates/stacktack-core/src/direct/sources/directory_source.rs
@@ -4,6 +4,10 @@
 //! are renewed within about two seconds after the store returns. Until then the removal of a
 //! missing entry stays pending, because its back end may only have been unable to renew it. An
 //! entry that is still missing afterwards is removed.
+//!
+//! A router whose peers keep it current calls the store rarely. So the store counts as lost until it
+//! has answered any router, this one or a peer: otherwise the loss would last until this router's
+//! next call, and removals would be held up again long after the outage.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -64,6 +68,9 @@
     state: SourceState,
     /// When the store was last lost or returned.
     changed_at: Time,
+    /// When the store was last lost, in milliseconds on its own clock; 0 if unknown. Answers to peers
+    /// are dated by that clock, since gossip takes a while.
+    lost_at_ms: u64,
 }
 
 impl DirectorySource {
@@ -74,6 +81,7 @@
             state: chart.initial(),
             chart,
             changed_at: Time(0),
+            lost_at_ms: 0,
         })
     }
 
@@ -85,9 +93,23 @@
         returned.then(|| now.since(lost_at))
     }
 
-    /// Records a failed call. Returns whether this marks the store as lost.
-    pub fn on_failure(&mut self, now: Time) -> bool {
-        self.step(SourceEvent::Failure, now)
+    /// Records that the store answered a peer, at `answered_at_ms` on its clock. An answer from before
+    /// the loss does not end it. Returns how long the store was lost if this answer ends the loss.
+    pub fn on_peer_answer(&mut self, answered_at_ms: u64, now: Time) -> Option<Duration> {
+        if answered_at_ms <= self.lost_at_ms {
+            return None;
+        }
+        self.on_answer(now)
+    }
+
+    /// Records a failed call; `store_clock_ms` is the time on the clock of the store, or somewhat
+    /// later, as far as known. Returns whether this marks the store as lost.
+    pub fn on_failure(&mut self, store_clock_ms: Option<u64>, now: Time) -> bool {
+        let is_new_loss = self.step(SourceEvent::Failure, now);
+        if is_new_loss {
+            self.lost_at_ms = store_clock_ms.unwrap_or(0);
+        }
+        is_new_loss
     }
 
     /// Whether the store is lost.
--- a/crates/stacktack-core/src/direct/sources/freshness.rs
+++ b/crates/stacktack-core/src/direct/sources/freshness.rs
@@ -12,15 +12,35 @@
     answered_at_ms: u64,
     /// When this router learned of that answer.
     learned_at: Time,
+    /// When the source made the newest answer that this router heard of, in milliseconds on its own
+    /// clock. The knowledge of this router may not be complete up to it.
+    newest_answer_ms: u64,
     /// When the last gap between answers ended.
     gap_ended: Option<Time>,
 }
 
 impl Freshness {
+    /// Records that the source made an answer at `answered_at_ms` on its own clock, to any router. A
+    /// step of more than `gap_threshold` is a gap: no router got an answer during that time.
+    pub fn observe_answer(&mut self, answered_at_ms: u64, gap_threshold: Duration, now: Time) {
+        let is_first = self.newest_answer_ms == 0;
+        let newer_by = answered_at_ms.saturating_sub(self.newest_answer_ms);
+        if !is_first && Duration::from_millis(newer_by) > gap_threshold {
+            self.gap_ended = Some(now);
+        }
+        self.newest_answer_ms = self.newest_answer_ms.max(answered_at_ms);
+    }
+
+    /// Upper bound on the time on the clock of the source, in milliseconds; `None` before the first
+    /// answer.
+    pub fn source_clock_ms(&self, now: Time) -> Option<u64> {
+        let since_answer = self.age(now)?.as_millis();
+        Some(self.answered_at_ms + u64::try_from(since_answer).unwrap_or(0))
+    }
+
     /// Records an answer that the source made at `answered_at_ms` on its own clock. The answer
     /// shows that the knowledge was complete at `as_of` on the clock of this router. Returns by
-    /// how much the answer is newer than the last one, or `None` if it is not newer. A step of
-    /// more than `gap_threshold` is a gap: no router got an answer during that time.
+    /// how much the answer is newer than the last one, or `None` if it is not newer.
     pub fn record_answer(
         &mut self,
         as_of: Time,
@@ -33,9 +53,7 @@
             return None;
         }
         let newer_by = Duration::from_millis(answered_at_ms.saturating_sub(self.answered_at_ms));
-        if !is_first && newer_by > gap_threshold {
-            self.gap_ended = Some(now);
-        }
+        self.observe_answer(answered_at_ms, gap_threshold, now);
         self.as_of = Some(as_of);
         self.answered_at_ms = answered_at_ms;
         self.learned_at = now;
--- a/crates/stacktack-direct/src/followers/directory.rs
+++ b/crates/stacktack-direct/src/followers/directory.rs
@@ -170,10 +170,12 @@
                 event = calls.next_event(timeout) => return event,
                 cause = poll_due, if may_poll => self.poll(cause.as_str(), calls),
                 () = self.router.directory_poll_due.notified() => self.poll("behind", calls),
+                // Whether polls are due depends on whether the store is lost.
+                () = self.router.store.changed() => {}
                 () = self.router.wait_for_resume() => {
                     // Missing entries may only have been unable to renew themselves, and the call
                     // in flight may wait on a dead connection.
-                    self.router.store.on_failure(self.router.now(), SourceError::Suspended);
+                    self.router.on_directory_failure(SourceError::Suspended);
                     calls.schedule(Duration::ZERO);
                 }
                 () = sleep(PENDING_REMOVALS_CHECK_INTERVAL), if self.has_pending_removals() =>
@@ -227,7 +229,7 @@
             self.knowledge().forget_read();
             return Some(Duration::ZERO);
         }
-        self.router.store.on_failure(self.router.now(), error);
+        self.router.on_directory_failure(error);
         if is_updated_by_peers(
             &self.router,
             &self.router.directory_budget(),
--- a/crates/stacktack-direct/src/freshness.rs
+++ b/crates/stacktack-direct/src/freshness.rs
@@ -11,6 +11,7 @@
 use stacktack_core::direct::sources::staleness_budget::StalenessBudget;
 use stacktack_core::time::Time;
 
+use crate::ports::SourceError;
 use crate::router::Router;
 
 /// Minimum advance of an answer over the last one for it to be pushed to peers at once, as a
@@ -62,6 +63,13 @@
         self.freshness.get()
     }
 
+    /// Records an answer of the source to a peer, which this router may not have the knowledge of.
+    fn observe_answer(&self, answered_at_ms: u64, gap_threshold: Duration, now: Time) {
+        let mut freshness = self.freshness.get();
+        freshness.observe_answer(answered_at_ms, gap_threshold, now);
+        self.freshness.set(freshness);
+    }
+
     /// Records an answer; returns whether it is enough newer than the last one to be pushed to
     /// peers.
     fn record(
@@ -206,10 +214,13 @@
 
     /// The last answers of the store, as sent to peers.
     pub fn source_reads(&self) -> SourceReads {
-        let none_pending = self.pending_removals.borrow().is_empty();
-        let directory = none_pending.then(|| self.freshness.directory.last_answer());
+        let mut directory = self.freshness.directory.last_answer();
+        if !self.pending_removals.borrow().is_empty() {
+            // The revision that is sent is older than this one. The time shows that the store answers.
+            directory.revision = 0;
+        }
         SourceReads {
-            directory: directory.unwrap_or_default(),
+            directory,
             configuration: self.freshness.configuration.last_answer(),
         }
     }
@@ -219,6 +230,7 @@
     pub fn apply_source_ages(&self, gossip: &PeerGossip, ages: &SourceAges, reads: &SourceReads) {
         let now = self.now();
         let as_of = |age: Option<EncodedAge>| age.map(|age| now - age.age());
+        self.observe_peer_answers(reads);
         if self.pending_removals.borrow().is_empty() {
             let claim = PeerClaim {
                 revision: gossip.directory,
@@ -236,6 +248,27 @@
         }
     }
 
+    /// Takes the answers of the store that a peer reports as evidence about the store, whatever
+    /// revisions this router knows.
+    fn observe_peer_answers(&self, reads: &SourceReads) {
+        let answered_at_ms = reads.directory.answered_at_ms;
+        if answered_at_ms > 0 {
+            let now = self.now();
+            let gap_threshold = self.directory_budget().gap_threshold();
+            let directory = &self.freshness.directory;
+            directory.observe_answer(answered_at_ms, gap_threshold, now);
+            self.store.on_peer_answer(answered_at_ms, now);
+        }
+    }
+
+    /// Records a call about the directory that failed or was not answered in time. Returns whether
+    /// the store was not lost before.
+    pub(crate) fn on_directory_failure(&self, error: SourceError) -> bool {
+        let now = self.now();
+        let store_clock_ms = self.freshness.directory.freshness().source_clock_ms(now);
+        self.store.on_failure(error, store_clock_ms, now)
+    }
+
     fn apply_directory_claim(&self, claim: PeerClaim) {
         let (known, budget) = (self.directory_revision(), self.directory_budget());
         let directory = &self.freshness.directory;
--- a/crates/stacktack-direct/src/store_monitor.rs
+++ b/crates/stacktack-direct/src/store_monitor.rs
@@ -16,6 +16,7 @@
     availability: RefCell<DirectorySource>,
     timeout: Cell<AdaptiveTimeout>,
     recovered: Notify,
+    changed: Notify,
 }
 
 impl StoreMonitor {
@@ -25,6 +26,7 @@
             availability: RefCell::new(DirectorySource::new()?),
             timeout: Cell::default(),
             recovered: Notify::new(),
+            changed: Notify::new(),
         })
     }
 
@@ -39,35 +41,68 @@
         self.timeout.get().lateness()
     }
 
-    /// Records how long after it was due a call was answered.
+    /// Records how long after it was due a call of this router was answered.
     pub(crate) fn record_lateness(&self, lateness: Duration) {
         let mut timeout = self.timeout.get();
         timeout.on_answer(lateness);
         self.timeout.set(timeout);
     }
 
-    /// Waits until the store answers again after it was lost.
+    /// Waits until the store is lost or has returned.
+    pub(crate) async fn changed(&self) {
+        self.changed.notified().await;
+    }
+
+    /// Waits until the store answers this router again after it was lost.
     pub(crate) async fn recovered(&self) {
         self.recovered.notified().await;
     }
 
     /// Records an answer about the directory to this router.
     pub(crate) fn on_answer(&self, now: Time) {
-        if let Some(lost_for) = self.availability.borrow_mut().on_answer(now) {
-            log::info!(
-                target: "dependency",
-                "name=store regained=true after_ms={}",
-                lost_for.as_millis()
-            );
+        let lost_for = self.availability.borrow_mut().on_answer(now);
+        if let Some(lost_for) = lost_for {
+            self.on_returned(lost_for, "own_call");
             self.recovered.notify_waiters();
         }
     }
 
-    /// Records a call of this router about the directory that failed or was not answered in time.
-    pub(crate) fn on_failure(&self, now: Time, error: SourceError) {
-        if self.availability.borrow_mut().on_failure(now) {
+    /// Records that the store answered a peer about the directory, at `answered_at_ms` on its clock.
+    pub(crate) fn on_peer_answer(&self, answered_at_ms: u64, now: Time) {
+        let mut availability = self.availability.borrow_mut();
+        let lost_for = availability.on_peer_answer(answered_at_ms, now);
+        drop(availability);
+        if let Some(lost_for) = lost_for {
+            self.on_returned(lost_for, "peer");
+        }
+    }
+
+    fn on_returned(&self, lost_for: Duration, shown_by: &str) {
+        log::info!(
+            target: "dependency",
+            "name=store regained=true after_ms={} shown_by={shown_by}",
+            lost_for.as_millis()
+        );
+        self.changed.notify_waiters();
+    }
+
+    /// Records a call of this router about the directory that failed or was not answered in time;
+    /// `store_clock_ms` is the time on the clock of the store, or somewhat later, as far as known.
+    /// Returns whether the store was not lost before.
+    pub(crate) fn on_failure(
+        &self,
+        error: SourceError,
+        store_clock_ms: Option<u64>,
+        now: Time,
+    ) -> bool {
+        let mut availability = self.availability.borrow_mut();
+        let is_new_loss = availability.on_failure(store_clock_ms, now);
+        drop(availability);
+        if is_new_loss {
             log::warn!(target: "dependency", "name=store lost=true cause=\"{error}\"");
+            self.changed.notify_waiters();
         }
+        is_new_loss
     }
 
     /// Whether the store does not answer.
