Waits for the next poll follow the current lateness of the store

Cause: the task that waits for the next poll read the lateness of the store once, when its wait began. Right after an outage that was 3.1 s; answers to the other follower had it down to 0.4 s within seconds, but the wait, made once the outage was over, still kept polls 6.2 s apart. The limit for late answers was read once as well.

The test polls_are_not_delayed_by_a_lateness_that_has_passed failed before (no poll in 2 s).

Why this works: the store monitor tells waiting tasks when the lateness has changed by 20 ms or more, and they compute their times anew.

--- a/crates/stacktack-direct/src/followers/configuration.rs
+++ b/crates/stacktack-direct/src/followers/configuration.rs
@@ -48,9 +48,7 @@
         let may_poll = !is_retrying && !calls.has_arriving_answer();
         let budget = router.configuration_budget();
         let known = &router.freshness.configuration;
-        let poll_due = follower
-            .polls
-            .due(&router, budget, router.store.lateness(), known, watches);
+        let poll_due = follower.polls.due(&router, budget, known, watches);
         let event = tokio::select! {
             event = calls.next_event(timeout) => event,
             cause = poll_due, if may_poll => {
@@ -61,6 +59,8 @@
                 follower.poll("behind", &mut calls);
                 continue;
             }
+            // When calls are late and polls are due follows from the belief about the store.
+            () = router.store.changed() => continue,
             () = router.wait_for_resume() => {
                 follower.record_unanswered(Instant::now());
                 calls.schedule(Duration::ZERO);
--- a/crates/stacktack-direct/src/followers/directory.rs
+++ b/crates/stacktack-direct/src/followers/directory.rs
@@ -152,25 +152,22 @@
         &mut self,
         calls: &mut HedgedCalls<'_, DirectoryUpdate>,
     ) -> CallEvent<DirectoryUpdate> {
-        let timeout = self
-            .router
-            .store
-            .timeout(self.knowledge().read_at().is_none());
         let budget = self.router.directory_budget();
         loop {
+            let at_start = self.knowledge().read_at().is_none();
+            let timeout = self.router.store.timeout(at_start);
             let watches = !calls.is_idle();
             // A lost store is called again after the backoff, not by polls.
             let is_retrying = watches && self.router.store.is_lost();
             let may_poll = !is_retrying && !calls.has_arriving_answer();
-            let lateness = self.router.store.lateness();
-            let poll_due =
-                self.polls
-                    .due(&self.router, budget, lateness, self.knowledge(), watches);
+            let poll_due = self
+                .polls
+                .due(&self.router, budget, self.knowledge(), watches);
             tokio::select! {
                 event = calls.next_event(timeout) => return event,
                 cause = poll_due, if may_poll => self.poll(cause.as_str(), calls),
                 () = self.router.directory_poll_due.notified() => self.poll("behind", calls),
-                // Whether polls are due depends on whether the store is lost.
+                // When calls are late and polls are due follows from the belief about the store.
                 () = self.router.store.changed() => {}
                 () = self.router.wait_for_resume() => {
                     // Missing entries may only have been unable to renew themselves, and the call
--- a/crates/stacktack-direct/src/followers/poll_schedule.rs
+++ b/crates/stacktack-direct/src/followers/poll_schedule.rs
@@ -54,12 +54,12 @@
     }
 
     /// Resolves with the cause when a poll is due; never while nothing is known of the source.
-    /// `watches` is true if this router has a call in flight or planned.
+    /// `watches` is true if this router has a call in flight or planned. The time is computed once:
+    /// wait anew when the store monitor reports a change.
     pub(super) async fn due(
         &self,
         router: &Router,
         budget: StalenessBudget,
-        lateness: Duration,
         known: &SourceKnowledge,
         watches: bool,
     ) -> PollCause {
@@ -68,7 +68,7 @@
                 budget,
                 freshness: known.freshness(),
                 routers: router.peers.borrow().known_routers(),
-                lateness,
+                lateness: router.store.lateness(),
                 watches,
             };
             match self.watch.until_due(&inputs, router.now()) {
--- a/crates/stacktack-direct/src/store_monitor.rs
+++ b/crates/stacktack-direct/src/store_monitor.rs
@@ -11,6 +11,9 @@
 
 use crate::ports::SourceError;
 
+/// Minimum change of the lateness for which tasks that wait compute their times again.
+const MIN_LATENESS_CHANGE: Duration = Duration::from_millis(20);
+
 /// Tracks whether the store answers and how late, and notifies waiting tasks when it recovers.
 pub struct StoreMonitor {
     availability: RefCell<DirectorySource>,
@@ -42,13 +45,22 @@
     }
 
     /// Records how long after it was due a call of this router was answered.
-    pub(crate) fn record_lateness(&self, lateness: Duration) {
+    pub fn record_lateness(&self, lateness: Duration) {
         let mut timeout = self.timeout.get();
         timeout.on_answer(lateness);
-        self.timeout.set(timeout);
+        self.set_timeout(timeout);
+    }
+
+    fn set_timeout(&self, timeout: AdaptiveTimeout) {
+        let before = self.timeout.replace(timeout);
+        let change = timeout.timeout(false).abs_diff(before.timeout(false));
+        let lateness_change = timeout.lateness().abs_diff(before.lateness());
+        if change.max(lateness_change) >= MIN_LATENESS_CHANGE {
+            self.changed.notify_waiters();
+        }
     }
 
-    /// Waits until the store is lost or has returned.
+    /// Waits until the store is lost or has returned, or its lateness has changed.
     pub(crate) async fn changed(&self) {
         self.changed.notified().await;
     }
--- a/crates/stacktack-direct/tests/followers/main.rs
+++ b/crates/stacktack-direct/tests/followers/main.rs
@@ -209,3 +209,26 @@
     })
     .await;
 }
+
+/// Guards against polls that keep a distance learned from late answers after the store answers in
+/// time again: the wait for the next poll had been computed before.
+#[tokio::test(start_paused = true)]
+async fn polls_are_not_delayed_by_a_lateness_that_has_passed() {
+    follow(|directory, router| async move {
+        router.store.record_lateness(Duration::from_secs(3));
+        directory.silence_calls_in_flight();
+        let calls = directory.calls.get();
+        while directory.calls.get() == calls {
+            after(10).await;
+        }
+        // Answers to another follower come in time from now on.
+        for _ in 0..40 {
+            after(5).await;
+            router.store.record_lateness(Duration::from_millis(4));
+        }
+        let calls = directory.calls.get();
+        after(2000).await;
+        assert!(directory.calls.get() > calls, "no poll in 2 s");
+    })
+    .await;
+}
