The rest of an outage is not taken for the latency of the store

Cause: a call that waits through an outage is answered when the store is back, 2 to 4 s late. Routers kept that as the lateness of the store: polls are spaced by twice of it, takeovers wait for it. It decayed by a tenth with each answer to an own call, and a router that peers keep current makes none, so that it had the lateness of the outage at any later time. When the reader stopped, the next one came seconds late; the gap then looked like one of the store and held removals back for 2.2 s more.

Why this works: an answer that was due while the store was lost may be late by the outage or by a slow store. It counts for the time in which the next answer may come, so that a slow store is not taken for a lost one again, and not for the distance of polls; the next answer shows which it was. Answers that peers report were made at most their age ago, so they lower an old lateness and never raise it, each answer once. Weighed: decay with time (a store that takes 4 s for an answer would be taken for a lost one), and decay with each peer's report (in a fleet of 103 a slow store would look quick within milliseconds, since reports of late answers come often).

--- a/crates/stacktack-core/src/direct/sources/adaptive_timeout.rs
+++ b/crates/stacktack-core/src/direct/sources/adaptive_timeout.rs
@@ -27,17 +27,37 @@
 /// 23 times because no answer had come.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct AdaptiveTimeout {
+    /// Latency of the store, as far as it exceeds what is due.
     lateness: Duration,
+    /// Lateness of the last answer, if the store was lost while it was due.
+    outage_rest: Duration,
 }
 
 impl AdaptiveTimeout {
-    /// Records an answer that came `lateness` after it was due.
+    /// Records an answer that came `lateness` after it was due, from a store that was not lost
+    /// meanwhile.
     pub fn on_answer(&mut self, lateness: Duration) {
+        self.outage_rest = Duration::ZERO;
         self.lateness = lateness.max(self.lateness.mul_f64(LATENESS_DECAY));
     }
 
-    /// Known lateness of answers: it rises at once to that of a later answer and decays with each
-    /// quicker one.
+    /// Records an answer that came `lateness` after it was due, while the store was lost for a part
+    /// of that time. It may be the rest of an outage or the latency of a slow store; the next answer
+    /// shows which, and until then only the timeout counts it.
+    pub fn on_answer_after_loss(&mut self, lateness: Duration) {
+        self.outage_rest = lateness;
+    }
+
+    /// Records that the store answered a peer, at most `age` ago. That answer was not later than its
+    /// age, so that an old lateness does not last where peers keep this router from calling.
+    pub fn on_peer_answer(&mut self, age: Duration) {
+        self.outage_rest = Duration::ZERO;
+        let decayed = self.lateness.mul_f64(LATENESS_DECAY);
+        self.lateness = self.lateness.min(age.max(decayed));
+    }
+
+    /// Known latency of the source: it rises at once to the lateness of a later answer and decays with
+    /// each quicker one. Answers that an outage may have held up do not count.
     pub fn lateness(&self) -> Duration {
         self.lateness
     }
@@ -51,6 +71,7 @@
             MIN_TIMEOUT
         };
         self.lateness
+            .max(self.outage_rest)
             .mul_f64(LATENESS_FACTOR)
             .clamp(minimum, MAX_TIMEOUT)
     }
--- a/crates/stacktack-core/src/direct/sources/directory_source.rs
+++ b/crates/stacktack-core/src/direct/sources/directory_source.rs
@@ -68,6 +68,8 @@
     state: SourceState,
     /// When the store was last lost or returned.
     changed_at: Time,
+    /// When the store last returned.
+    returned_at: Option<Time>,
     /// When the store was last lost, in milliseconds on its own clock; 0 if unknown. Answers to peers
     /// are dated by that clock, since gossip takes a while.
     lost_at_ms: u64,
@@ -81,6 +83,7 @@
             state: chart.initial(),
             chart,
             changed_at: Time(0),
+            returned_at: None,
             lost_at_ms: 0,
         })
     }
@@ -89,8 +92,11 @@
     /// loss.
     pub fn on_answer(&mut self, now: Time) -> Option<Duration> {
         let lost_at = self.changed_at;
-        let returned = self.step(SourceEvent::Answer, now);
-        returned.then(|| now.since(lost_at))
+        if !self.step(SourceEvent::Answer, now) {
+            return None;
+        }
+        self.returned_at = Some(now);
+        Some(now.since(lost_at))
     }
 
     /// Records that the store answered a peer, at `answered_at_ms` on its clock. An answer from before
@@ -117,6 +123,12 @@
         self.state == SourceState::Lost
     }
 
+    /// Whether the store was lost at some time within the last `span`.
+    pub fn was_lost_within(&self, span: Duration, now: Time) -> bool {
+        let since_return = self.returned_at.map(|returned_at| now.since(returned_at));
+        self.is_lost() || since_return.is_some_and(|since| since <= span)
+    }
+
     /// Whether the store has answered for long enough that all live back ends have renewed their
     /// entries.
     pub fn is_steady(&mut self, now: Time) -> bool {
--- a/crates/stacktack-direct/src/followers/configuration.rs
+++ b/crates/stacktack-direct/src/followers/configuration.rs
@@ -218,7 +218,9 @@
             .polls
             .on_response(SOURCE, known, update.answered_at_ms, router);
         self.backoff.reset();
-        self.router.store.record_lateness(call.lateness());
+        self.router
+            .store
+            .record_lateness(call.lateness(), self.router.now());
         self.router.on_contact();
         self.unanswered_since = None;
         self.history_gone = false;
--- a/crates/stacktack-direct/src/followers/directory.rs
+++ b/crates/stacktack-direct/src/followers/directory.rs
@@ -192,7 +192,7 @@
             .on_response(SOURCE, known, update.answered_at_ms, router);
         let is_empty = update.delta.is_empty();
         self.backoff.reset();
-        self.router.store.record_lateness(call.lateness());
+        self.router.store.record_lateness(call.lateness(), now);
         self.router.store.on_answer(now);
         self.router.on_contact();
         self.knowledge().record_read(update.revision);
--- a/crates/stacktack-direct/src/freshness.rs
+++ b/crates/stacktack-direct/src/freshness.rs
@@ -230,7 +230,7 @@
     pub fn apply_source_ages(&self, gossip: &PeerGossip, ages: &SourceAges, reads: &SourceReads) {
         let now = self.now();
         let as_of = |age: Option<EncodedAge>| age.map(|age| now - age.age());
-        self.observe_peer_answers(reads);
+        self.observe_peer_answers(ages, reads);
         if self.pending_removals.borrow().is_empty() {
             let claim = PeerClaim {
                 revision: gossip.directory,
@@ -250,7 +250,14 @@
 
     /// Takes the answers of the store that a peer reports as evidence about the store, whatever
     /// revisions this router knows.
-    fn observe_peer_answers(&self, reads: &SourceReads) {
+    fn observe_peer_answers(&self, ages: &SourceAges, reads: &SourceReads) {
+        let directory = (ages.directory, reads.directory.answered_at_ms);
+        let configuration = (ages.configuration, reads.configuration.answered_at_ms);
+        for (age, answered_at_ms) in [directory, configuration] {
+            if let Some(age) = age.filter(|_| answered_at_ms > 0) {
+                self.store.record_peer_lateness(age.age(), answered_at_ms);
+            }
+        }
         let answered_at_ms = reads.directory.answered_at_ms;
         if answered_at_ms > 0 {
             let now = self.now();
--- a/crates/stacktack-direct/src/store_monitor.rs
+++ b/crates/stacktack-direct/src/store_monitor.rs
@@ -18,6 +18,8 @@
 pub struct StoreMonitor {
     availability: RefCell<DirectorySource>,
     timeout: Cell<AdaptiveTimeout>,
+    /// Time of the newest answer that a peer reported, in milliseconds on the clock of the store.
+    newest_peer_answer_ms: Cell<u64>,
     recovered: Notify,
     changed: Notify,
 }
@@ -28,6 +30,7 @@
         Ok(StoreMonitor {
             availability: RefCell::new(DirectorySource::new()?),
             timeout: Cell::default(),
+            newest_peer_answer_ms: Cell::default(),
             recovered: Notify::new(),
             changed: Notify::new(),
         })
@@ -45,9 +48,25 @@
     }
 
     /// Records how long after it was due a call of this router was answered.
-    pub fn record_lateness(&self, lateness: Duration) {
+    pub fn record_lateness(&self, lateness: Duration, now: Time) {
         let mut timeout = self.timeout.get();
-        timeout.on_answer(lateness);
+        if self.availability.borrow().was_lost_within(lateness, now) {
+            timeout.on_answer_after_loss(lateness);
+        } else {
+            timeout.on_answer(lateness);
+        }
+        self.set_timeout(timeout);
+    }
+
+    /// Records an answer of the store to a peer, made at most `age` ago and at `answered_at_ms` on
+    /// the clock of the store. Each answer counts once, however many peers report it.
+    pub(crate) fn record_peer_lateness(&self, age: Duration, answered_at_ms: u64) {
+        if answered_at_ms <= self.newest_peer_answer_ms.get() {
+            return;
+        }
+        self.newest_peer_answer_ms.set(answered_at_ms);
+        let mut timeout = self.timeout.get();
+        timeout.on_peer_answer(age);
         self.set_timeout(timeout);
     }
 
--- a/crates/stacktack-direct/tests/departures_after_outages/main.rs
+++ b/crates/stacktack-direct/tests/departures_after_outages/main.rs
@@ -206,3 +206,22 @@
     check(cases(2, &outages, &strikes, &[3000, 7000, 20_000])).await;
     check(cases(4, &outages, &strikes, &[3000, 7000])).await;
 }
+
+/// Guards against routers that read the store late after an outage, because they take the rest of
+/// the outage, in which their calls waited, for the latency of the store.
+#[tokio::test(start_paused = true)]
+async fn the_rest_of_an_outage_does_not_delay_the_next_reader() {
+    let outages = [(Service::Stalled, 1.0)];
+    let strikes = [
+        (Strike::Frozen, 1),
+        (Strike::Killed, 1),
+        (Strike::CutOff, 1),
+    ];
+    check(cases(2, &outages, &strikes, &[3000, 4000, 7000, 20_000])).await;
+    let strikes = [
+        (Strike::Frozen, 2),
+        (Strike::Killed, 2),
+        (Strike::CutOff, 1),
+    ];
+    check(cases(4, &outages, &strikes, &[3000, 4000, 7000, 20_000])).await;
+}
--- a/crates/stacktack-direct/tests/followers/main.rs
+++ b/crates/stacktack-direct/tests/followers/main.rs
@@ -215,7 +215,9 @@
 #[tokio::test(start_paused = true)]
 async fn polls_are_not_delayed_by_a_lateness_that_has_passed() {
     follow(|directory, router| async move {
-        router.store.record_lateness(Duration::from_secs(3));
+        router
+            .store
+            .record_lateness(Duration::from_secs(3), router.now());
         directory.silence_calls_in_flight();
         let calls = directory.calls.get();
         while directory.calls.get() == calls {
@@ -224,7 +226,9 @@
         // Answers to another follower come in time from now on.
         for _ in 0..40 {
             after(5).await;
-            router.store.record_lateness(Duration::from_millis(4));
+            router
+                .store
+                .record_lateness(Duration::from_millis(4), router.now());
         }
         let calls = directory.calls.get();
         after(2000).await;
