Removals after an outage are decided on an answer from after the renewals

Callers would see: for up to a second or two, all requests of a pool go to fewer back ends than live, since one whose entry expired in an outage and was renewed in time is taken for gone.

Cause: 2.2 s after the return of the store the pending removals were applied, whatever the age of the knowledge. A router that last read the store 1.5 s after its return applied the removal of an entry that was renewed 1.9 s after it. With the reader struck in between that is likely, and with nothing struck it happened too.

Why this works: the end of the renewals is known (2.2 s after the return, or after a gap between answers), and only an answer from then on shows which entries are back. A router that has none polls once (`look=true cause=renewed`). Beside steady peers knowledge of the last half second is sufficient, as an answer just read is.

--- a/crates/stacktack-core/src/direct/sources/directory_source.rs
+++ b/crates/stacktack-core/src/direct/sources/directory_source.rs
@@ -129,6 +129,12 @@
         self.is_lost() || since_return.is_some_and(|since| since <= span)
     }
 
+    /// When live back ends have renewed their entries after the last loss; `None` without one.
+    pub fn renewal_end(&self) -> Option<Time> {
+        self.returned_at
+            .map(|returned_at| returned_at + RENEWAL_PERIOD)
+    }
+
     /// Whether the store has answered for long enough that all live back ends have renewed their
     /// entries.
     pub fn is_steady(&mut self, now: Time) -> bool {
--- a/crates/stacktack-core/src/direct/sources/freshness.rs
+++ b/crates/stacktack-core/src/direct/sources/freshness.rs
@@ -80,6 +80,11 @@
         self.as_of.map(|_| now.since(self.learned_at))
     }
 
+    /// When the last gap between answers ended; `None` without one.
+    pub fn gap_ended(&self) -> Option<Time> {
+        self.gap_ended
+    }
+
     /// Whether a gap between answers ended within the last `span`.
     pub fn had_gap_within(&self, span: Duration, now: Time) -> bool {
         self.gap_ended.is_some_and(|ended| now.since(ended) < span)
--- a/crates/stacktack-core/src/direct/sources/watch.rs
+++ b/crates/stacktack-core/src/direct/sources/watch.rs
@@ -82,6 +82,11 @@
         self.has_asked
     }
 
+    /// When the last call that does not wait for an update was made or decided on.
+    pub fn polled_at(&self) -> Option<Time> {
+        self.polled_at
+    }
+
     /// Time until the source has to be polled unless newer knowledge arrives before, and the
     /// reason; `None` before the first answer.
     pub fn until_due(&self, inputs: &WatchInputs, now: Time) -> Option<(Duration, PollCause)> {
--- a/crates/stacktack-direct/src/followers/directory.rs
+++ b/crates/stacktack-direct/src/followers/directory.rs
@@ -5,7 +5,7 @@
 
 use stacktack_core::direct::back_ends::back_end::hash_of_id;
 use stacktack_core::direct::back_ends::directory::{DirectoryChange, DirectoryDelta};
-use stacktack_core::direct::sources::directory_source::RemovalEvidence;
+use stacktack_core::direct::sources::directory_source::{RemovalEvidence, RENEWAL_PERIOD};
 use stacktack_core::direct::sources::update_batching;
 use stacktack_core::time::Time;
 use tokio::time::sleep;
@@ -31,6 +31,10 @@
 /// below the 3 s after which routers have to act on departures again.
 const PENDING_REMOVALS_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Maximum age of the knowledge from which a router that has not seen the end of the renewal period
+/// itself decides on removals, while peers report that the directory is steady.
+const MAX_AGE_BESIDE_STEADY_PEERS: Duration = Duration::from_millis(500);
+
 /// Maximum number of changes of one kind in one response that are logged one by one. A starting
 /// router reads all entries at once, which would be 632 lines at each of 357 routers.
 const MAX_LISTED_CHANGES: usize = 24;
@@ -176,7 +180,7 @@
                     calls.schedule(Duration::ZERO);
                 }
                 () = sleep(PENDING_REMOVALS_CHECK_INTERVAL), if self.has_pending_removals() =>
-                    self.apply_pending_removals(),
+                    self.check_pending_removals(calls),
             }
         }
     }
@@ -249,11 +253,42 @@
         !self.router.pending_removals.borrow().is_empty()
     }
 
-    /// Applies the pending removals once the directory is steady.
-    fn apply_pending_removals(&self) {
-        if !self.is_steady(self.router.now()) {
+    /// End of the latest period in which live back ends renewed their entries, after a loss of the
+    /// store or a gap between its answers.
+    fn renewal_end(&self) -> Option<Time> {
+        let gap_ended = self.knowledge().freshness().gap_ended();
+        let after_gap = gap_ended.map(|ended| ended + RENEWAL_PERIOD);
+        self.router.store.renewal_end().max(after_gap)
+    }
+
+    /// Whether this router knows the directory as of the end of the renewal period or later, so that
+    /// it knows of all entries that were renewed in time. Where only peers have seen the end of that
+    /// period, recent knowledge is sufficient.
+    fn knows_renewals(&self, now: Time) -> bool {
+        let known_until = self.knowledge().as_of();
+        if self.router.store.is_steady(now) {
+            known_until >= self.renewal_end()
+        } else {
+            known_until >= Some(now - MAX_AGE_BESIDE_STEADY_PEERS)
+        }
+    }
+
+    /// Applies the pending removals once the directory is steady and this router knows which entries
+    /// were renewed. Polls the store if it does not know that yet.
+    fn check_pending_removals(&mut self, calls: &mut HedgedCalls<'_, DirectoryUpdate>) {
+        let now = self.router.now();
+        if !self.is_steady(now) {
             return;
         }
+        let last_poll = now - self.router.directory_budget().answer_timeout();
+        if self.knows_renewals(now) {
+            self.apply_pending_removals();
+        } else if !self.polls.has_polled_since(last_poll) {
+            self.poll("renewed", calls);
+        }
+    }
+
+    fn apply_pending_removals(&self) {
         let mut change = DirectoryChange::default();
         let removed = self.router.pending_removals.borrow_mut().take_all();
         let mut back_ends = self.router.back_ends.borrow_mut();
@@ -272,7 +307,7 @@
         for id in &update.invalid_rows {
             log::warn!(target: "directory", "back_end={id} taken=false cause=invalid_row");
         }
-        let evidence = if self.is_steady(now) {
+        let evidence = if self.is_steady(now) && self.knows_renewals(now) {
             RemovalEvidence::StoreSteady
         } else {
             RemovalEvidence::Insufficient
--- a/crates/stacktack-direct/src/followers/poll_schedule.rs
+++ b/crates/stacktack-direct/src/followers/poll_schedule.rs
@@ -5,6 +5,7 @@
 use rand::RngExt;
 use stacktack_core::direct::sources::staleness_budget::StalenessBudget;
 use stacktack_core::direct::sources::watch::{PollCause, SourceWatch, WatchInputs};
+use stacktack_core::time::Time;
 use tokio::time::sleep;
 
 use crate::freshness::SourceKnowledge;
@@ -86,6 +87,11 @@
         self.watch.on_poll(rand::rng().random(), router.now());
     }
 
+    /// Whether a poll was made or decided on since `start`.
+    pub(super) fn has_polled_since(&self, start: Time) -> bool {
+        self.watch.polled_at().is_some_and(|at| at >= start)
+    }
+
     /// Whether the next call is a poll.
     pub(super) fn is_poll(&self) -> bool {
         self.pending_cause.is_some()
--- a/crates/stacktack-direct/src/store_monitor.rs
+++ b/crates/stacktack-direct/src/store_monitor.rs
@@ -141,6 +141,11 @@
         self.availability.borrow().is_lost()
     }
 
+    /// When live back ends have renewed their entries after the last loss; `None` without one.
+    pub(crate) fn renewal_end(&self) -> Option<Time> {
+        self.availability.borrow().renewal_end()
+    }
+
     /// Whether the store answers and, since its last outage, all live back ends had time to renew
     /// their entries.
     pub fn is_steady(&self, now: Time) -> bool {
--- a/crates/stacktack-direct/tests/departures_after_outages/main.rs
+++ b/crates/stacktack-direct/tests/departures_after_outages/main.rs
@@ -225,3 +225,18 @@
     ];
     check(cases(4, &outages, &strikes, &[3000, 4000, 7000, 20_000])).await;
 }
+
+/// Guards against removals of back ends that renewed their entries in time, decided by a router that
+/// last read the store before that.
+#[tokio::test(start_paused = true)]
+async fn an_entry_that_is_renewed_in_time_stays_although_the_store_was_read_before() {
+    let outages = [(Service::Silent, 1.0), (Service::Stalled, 1.0)];
+    let strikes = [
+        (Strike::Frozen, 1),
+        (Strike::Killed, 1),
+        (Strike::CutOff, 1),
+    ];
+    let pauses_ms = [1400, 1500, 1600, 1700, 1800, 1900];
+    check(cases(2, &outages, &strikes, &pauses_ms)).await;
+    check(cases(4, &outages, &strikes, &pauses_ms)).await;
+}
