Pauses between calls start over with each loss of the store

Callers would see: after an outage that only peers saw the end of, the first retry of the next outage comes up to 1.5 s late, so that a departure after it is known that much later. Not seen on real processes; found by going through what a router keeps about the store.

Cause: the backoff of the directory's follower was reset by own answers only.

Evidence: the_first_retry_of_an_outage_comes_soon_although_only_peers_saw_the_end_of_the_last_one failed before (0.96 and 1.44 s where 0.6 s are the share of the bound).

Why this works: the first failure after the store has answered anybody begins a new loss, and a new loss a new backoff.

--- a/crates/stacktack-direct/src/followers/backoff.rs
+++ b/crates/stacktack-direct/src/followers/backoff.rs
@@ -38,7 +38,8 @@
         }
     }
 
-    /// Starts over, after a call was answered.
+    /// Starts over, after a call was answered, or with the first failure after the store has
+    /// answered a peer.
     pub(super) fn reset(&mut self) {
         *self = Backoff::new();
     }
--- a/crates/stacktack-direct/src/followers/directory.rs
+++ b/crates/stacktack-direct/src/followers/directory.rs
@@ -230,7 +230,10 @@
             self.knowledge().forget_read();
             return Some(Duration::ZERO);
         }
-        self.router.on_directory_failure(error);
+        if self.router.on_directory_failure(error) {
+            // Peers may have kept this router current since the loss before.
+            self.backoff.reset();
+        }
         if is_updated_by_peers(
             &self.router,
             &self.router.directory_budget(),
--- a/crates/stacktack-direct/tests/followers/departures_in_time.rs
+++ b/crates/stacktack-direct/tests/followers/departures_in_time.rs
@@ -26,6 +26,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use stacktack_core::direct::peers::source_age::{EncodedAge, SourceAges};
 use stacktack_core::direct::traffic::route::TrafficConfiguration;
 use stacktack_direct::followers::{fetch_from_peers, follow_directory};
 use stacktack_direct::peer_updates::{PeerQuery, PeerSource, PeerUpdate};
@@ -35,6 +36,7 @@
 use tokio::time::Instant;
 
 use crate::common::{after, router};
+use crate::reads;
 use crate::scripted_directory::ScriptedDirectory;
 use crate::serving_peer::{update_from, ServingPeer};
 use crate::steady_peer::steady_peer_gossip;
@@ -363,3 +365,70 @@
         () = follow_directory(router.clone(), directory.clone()) => unreachable!("endless"),
     }
 }
+
+/// Peers report an answer that the store makes now.
+fn report_answer(directory: &ScriptedDirectory, router: &Router) {
+    let from = SocketAddr::from(([127, 0, 1, 1], 9));
+    let gossip = steady_peer_gossip(from, 0, router.directory_revision());
+    router.peers.borrow_mut().receive(&gossip, router.now());
+    let ages = SourceAges {
+        directory: EncodedAge::new(Duration::ZERO),
+        configuration: None,
+    };
+    router.apply_source_ages(&gossip, &ages, &reads(directory));
+}
+
+/// Time from a failed call of a router in a new outage to its next call, some time after an outage
+/// whose end only its peers have seen.
+async fn retry_delay_in_a_second_outage() -> Option<Duration> {
+    let directory = Rc::new(ScriptedDirectory::default());
+    directory.set("a", true);
+    let router = router();
+    router.apply_configuration(Arc::new(TrafficConfiguration {
+        version: 1,
+        ..TrafficConfiguration::default()
+    }));
+    let script = async {
+        after(3000).await;
+        directory.set_down(true);
+        after(9000).await;
+        let calls_in_first_outage = directory.calls.get();
+        for _ in 0..40 {
+            report_answer(&directory, &router);
+            after(100).await;
+        }
+        if directory.calls.get() > calls_in_first_outage + 1 {
+            return None;
+        }
+        // Calls right after the last report are not repeated.
+        after(1000).await;
+        let mut made = [Instant::now(); 2];
+        for made in &mut made {
+            let calls = directory.calls.get();
+            while directory.calls.get() == calls {
+                after(5).await;
+            }
+            *made = Instant::now();
+        }
+        Some(made[1] - made[0])
+    };
+    tokio::select! {
+        delay = script => delay,
+        () = gossip_from_peers(router.clone(), || true) => unreachable!("endless"),
+        () = follow_directory(router.clone(), directory.clone()) => unreachable!("endless"),
+    }
+}
+
+/// Guards against pauses of an outage that ended long ago, after the first failed call of another one.
+#[tokio::test(start_paused = true)]
+async fn the_first_retry_of_an_outage_comes_soon_although_only_peers_saw_the_end_of_the_last_one() {
+    let mut checked = 0;
+    for _ in 0..20 {
+        if let Some(delay) = retry_delay_in_a_second_outage().await {
+            // A poll without an answer is repeated after a fifth of the bound of 3 s.
+            assert!(delay <= Duration::from_millis(610), "{delay:?}");
+            checked += 1;
+        }
+    }
+    assert!(checked > 0);
+}
