The configuration's follower relies on its own calls and on what peers report

Cause: no poll was made beside a call that is not answered while the directory counted the store as lost, a belief that answers about the configuration never ended. The follower's own beliefs, an overdue answer, a lost history, versions that come faster than it reads them, and the backoff, ended with own answers only, however current peers kept it.

Why this works: polls stop only while a call of this follower is overdue. What it recorded counts until an answer to any router has brought it up to date since; a lost history counts for the revision after which it was lost.

--- a/crates/stacktack-direct/src/followers/configuration.rs
+++ b/crates/stacktack-direct/src/followers/configuration.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::time::Instant;
+use stacktack_core::time::Time;
 
 use super::backoff::Backoff;
 use super::poll_schedule::{is_updated_by_peers, long_poll_wait, PollSchedule};
@@ -31,9 +31,9 @@
 pub async fn follow_configuration(router: Rc<Router>, source: Rc<dyn ConfigurationSource>) {
     let mut follower = ConfigurationFollower {
         router: router.clone(),
-        history_gone: false,
-        unanswered_since: None,
-        is_lagging: false,
+        history_gone_after: None,
+        overdue_since: None,
+        lagging_at: None,
         may_have_missed_drains: false,
         polls: PollSchedule::new(),
         backoff: Backoff::new(),
@@ -43,8 +43,9 @@
     loop {
         let timeout = follower.timeout();
         let watches = !calls.is_idle();
-        // A lost store is called again after the backoff, not by polls.
-        let is_retrying = watches && router.store.is_lost();
+        // After a call without an answer the store is called again after the backoff, not by polls.
+        // Whether the directory is answered says nothing about a call that waits here.
+        let is_retrying = watches && follower.unanswered_since().is_some();
         let may_poll = !is_retrying && !calls.has_arriving_answer();
         let budget = router.configuration_budget();
         let known = &router.freshness.configuration;
@@ -62,7 +63,7 @@
             // When calls are late and polls are due follows from the belief about the store.
             () = router.store.changed() => continue,
             () = router.wait_for_resume() => {
-                follower.record_unanswered(Instant::now());
+                follower.record_unanswered(router.now());
                 calls.schedule(Duration::ZERO);
                 continue;
             }
@@ -70,7 +71,7 @@
                 // A call that waits at the store may have been lost in the outage. A call whose
                 // response is arriving continues: another one would start again at the first byte.
                 if !calls.has_arriving_answer() {
-                    follower.record_unanswered(Instant::now());
+                    follower.record_unanswered(router.now());
                     calls.schedule(Duration::ZERO);
                 }
                 continue;
@@ -101,12 +102,12 @@
 /// State of the task that follows the configuration.
 struct ConfigurationFollower {
     router: Rc<Router>,
-    /// Whether the store no longer has the changes after the known revision.
-    history_gone: bool,
-    /// Since when an answer of the store is overdue; `None` if none is.
-    unanswered_since: Option<Instant>,
-    /// Whether versions are stored faster than this router reads them one by one.
-    is_lagging: bool,
+    /// Revision after which the store no longer has the changes; `None` if it has them.
+    history_gone_after: Option<u64>,
+    /// Since when an answer of the store is overdue, as recorded last.
+    overdue_since: Option<Time>,
+    /// When this router last found that versions are stored faster than it reads them one by one.
+    lagging_at: Option<Time>,
     /// Whether changes were skipped that may include zone drains or roll-out orders.
     may_have_missed_drains: bool,
     polls: PollSchedule,
@@ -128,22 +129,37 @@
     /// versions older than its own, which takes 2.7 s at 10 Mbit/s; four more versions were stored
     /// meanwhile.
     fn read_after(&self) -> Option<u64> {
-        if self.history_gone {
-            return None;
-        }
         let read_at = self.knowledge().read_at();
         let in_force = self.router.configuration_revision();
+        let known = read_at.max(Some(in_force).filter(|in_force| *in_force > 0));
+        if self.history_gone_after.is_some() && known <= self.history_gone_after {
+            return None;
+        }
         if in_force > read_at.unwrap_or(0) {
             return Some(in_force);
         }
-        let is_long_gap = |since: Instant| since.elapsed() >= MIN_GAP_FOR_SNAPSHOT;
+        let now = self.router.now();
+        let is_long_gap = |since: Time| now.since(since) >= MIN_GAP_FOR_SNAPSHOT;
         let age = self.router.configuration_age();
         let is_old = age.is_none_or(|age| age >= MIN_GAP_FOR_SNAPSHOT);
+        let is_lagging = self.unless_answered_since(self.lagging_at).is_some();
         let missed_many =
-            self.is_lagging || (is_old && self.unanswered_since.is_some_and(is_long_gap));
+            is_lagging || (is_old && self.unanswered_since().is_some_and(is_long_gap));
         read_at.filter(|_| !missed_many)
     }
 
+    /// Since when an answer of the store is overdue; `None` if none is, or if the store has answered
+    /// a peer since.
+    fn unanswered_since(&self) -> Option<Time> {
+        self.unless_answered_since(self.overdue_since)
+    }
+
+    /// The time `at` of an observation about the store, unless an answer to any router has brought
+    /// this router up to date since.
+    fn unless_answered_since(&self, at: Option<Time>) -> Option<Time> {
+        at.filter(|at| self.knowledge().as_of() <= Some(*at))
+    }
+
     /// Long-poll wait of one call.
     fn wait(&self) -> Duration {
         let age = self.router.configuration_age().unwrap_or_default();
@@ -200,7 +216,7 @@
         self.may_have_missed_drains |= after > self.knowledge().read_at();
         let is_poll = self.polls.is_poll();
         let wait = match after {
-            Some(_) if self.unanswered_since.is_none() && !is_poll => self.wait(),
+            Some(_) if self.unanswered_since().is_none() && !is_poll => self.wait(),
             _ => Duration::ZERO,
         };
         self.polls.on_call(SOURCE, wait, &self.router);
@@ -222,8 +238,8 @@
             .store
             .record_lateness(call.lateness(), self.router.now());
         self.router.on_contact();
-        self.unanswered_since = None;
-        self.history_gone = false;
+        self.overdue_since = None;
+        self.history_gone_after = None;
         self.knowledge().record_read(update.revision);
         self.router.apply_zone_drain_update(&update.zone_drains);
         self.router.apply_rollout_orders(&update.rollouts);
@@ -233,8 +249,9 @@
             self.may_have_missed_drains = false;
             self.router.zone_drain_read_due.notify_one();
         }
-        self.is_lagging =
+        let is_lagging =
             update.version_count > 1 && call.transfer.arriving_for() >= MIN_TRANSFER_FOR_SNAPSHOT;
+        self.lagging_at = is_lagging.then(|| self.router.now());
         if update.version_count > 0 {
             log_call_end(call, "taken");
         }
@@ -256,10 +273,10 @@
     fn on_failure(&mut self, error: SourceError, call: &EndedCall) -> Option<Duration> {
         log_call_end(call, &error.to_string());
         if error == SourceError::HistoryGone {
-            self.history_gone = true;
+            self.history_gone_after = call.after_revision;
             return Some(Duration::ZERO);
         }
-        self.record_unanswered(Instant::now());
+        self.record_unanswered(self.router.now());
         self.retry_delay()
     }
 
@@ -285,12 +302,18 @@
             transfer.bytes(),
             transfer.elapsed().as_millis()
         );
-        self.record_unanswered(transfer.last_progress());
+        let since_progress = transfer.last_progress().elapsed();
+        self.record_unanswered(self.router.now() - since_progress);
         self.retry_delay()
     }
 
-    fn record_unanswered(&mut self, since: Instant) {
-        self.unanswered_since = self.unanswered_since.or(Some(since));
+    /// Records that no answer came since a time. The first one after the store has answered
+    /// anybody starts the backoff over.
+    fn record_unanswered(&mut self, since: Time) {
+        if self.unanswered_since().is_none() {
+            self.overdue_since = Some(since);
+            self.backoff.reset();
+        }
     }
 }
 
--- a/crates/stacktack-direct/tests/configuration_in_force/main.rs
+++ b/crates/stacktack-direct/tests/configuration_in_force/main.rs
@@ -376,3 +376,35 @@
         follow(&store, Some(peer.clone()), script).await;
     }
 }
+
+/// Guards against a call about the configuration that is never answered, without a poll beside it,
+/// while calls about the directory fail.
+#[tokio::test(start_paused = true)]
+async fn a_version_is_in_force_in_time_although_the_directory_is_not_answered() {
+    for pause_ms in (0..3000).step_by(250) {
+        let store = Store::new(Link::new(WIDE_BYTES_PER_SECOND), Duration::from_millis(5));
+        store.confirm();
+        let script = |router: Rc<Router>| {
+            let store = store.clone();
+            async move {
+                after(2000).await;
+                // Late answers: calls count as unanswered after 2.8 s.
+                router
+                    .store
+                    .record_lateness(Duration::from_millis(1400), router.now());
+                store.directory_down.set(true);
+                after(1000 + pause_ms).await;
+                store.unanswered_calls.set(1);
+                store.confirm();
+                after(300).await;
+                store.confirm();
+                let longest = max_apply_delay(&router, &store, Duration::from_secs(8)).await;
+                assert!(
+                    longest <= APPLY_BOUND,
+                    "pause {pause_ms} ms: {longest:?} late"
+                );
+            }
+        };
+        follow(&store, None, script).await;
+    }
+}
--- a/crates/stacktack-direct/tests/configuration_in_force/simulation.rs
+++ b/crates/stacktack-direct/tests/configuration_in_force/simulation.rs
@@ -101,6 +101,8 @@
     /// Time until each answer begins.
     pub latency: Cell<Duration>,
     pub reachable: Cell<bool>,
+    /// Whether calls about the directory fail.
+    pub directory_down: Cell<bool>,
     /// Number of next calls that are never answered.
     pub unanswered_calls: Cell<u32>,
     /// Number of next answers that stop arriving after their first bytes.
@@ -119,6 +121,7 @@
             link,
             latency: Cell::new(latency),
             reachable: Cell::new(true),
+            directory_down: Cell::new(false),
             unanswered_calls: Cell::new(0),
             stalled_answers: Cell::new(0),
             oldest_kept_revision: Cell::new(0),
@@ -248,7 +251,7 @@
         transfer: Rc<Transfer>,
     ) -> LocalBoxFuture<'_, Result<DirectoryUpdate, SourceError>> {
         Box::pin(async move {
-            if !self.reachable.get() {
+            if !self.reachable.get() || self.directory_down.get() {
                 return Err(SourceError::Unreached);
             }
             if after.is_some() {
