Reads of an isolated router are not put off by an isolation that is over

Callers would see: a router whose peers fall silent again within seconds learns up to 8 s late that a request crashes workers, or that it does no longer.

Cause: the failed reads of an isolation doubled the time between reads until an own read was answered, also after the peers were back and had told all that they know.

Evidence: a_router_whose_peers_fall_silent_again_reads_each_second_again failed before.

Why this works: the failures are forgotten once most peers are heard again.

--- a/crates/stacktack-direct/src/followers/verdicts.rs
+++ b/crates/stacktack-direct/src/followers/verdicts.rs
@@ -71,7 +71,7 @@
     /// Start of the last successful read, or time of the last failed read while most peers were
     /// silent.
     last_read: Time,
-    /// Failed reads, while most peers were silent, since the last successful read.
+    /// Failed reads since the last successful one or since most peers fell silent.
     failed_reads: u32,
     backoff: Backoff,
 }
@@ -81,6 +81,10 @@
         self.write().await?;
         let now = self.router.now();
         let is_isolated = self.router.peers.borrow().lost_most_peers();
+        if !is_isolated {
+            // The failures of an isolation that is over say nothing about the next one.
+            self.failed_reads = 0;
+        }
         let isolated_interval = exponential_delay(
             ISOLATED_READ_INTERVAL,
             self.failed_reads,
--- a/crates/stacktack-direct/tests/verdicts.rs
+++ b/crates/stacktack-direct/tests/verdicts.rs
@@ -232,6 +232,41 @@
     .await;
 }
 
+/// Guards against reads that are put off by failures of an earlier isolation.
+#[tokio::test(start_paused = true)]
+async fn a_router_whose_peers_fall_silent_again_reads_each_second_again() {
+    run_local(async {
+        let store = Rc::new(Store::default());
+        let router = router_with(Rc::new(stacktack_direct::clock::RuntimeClock::start()));
+        start(&router, &store);
+        after(500).await;
+        receive_gossip_of_one_peer(&router);
+        let expire_peers = || {
+            router
+                .peers
+                .borrow_mut()
+                .tick(&Default::default(), router.now())
+        };
+        after(3_000).await;
+        store.down.set(true);
+        expire_peers();
+        after(30_000).await;
+        let reads = store.reads.get();
+        while store.reads.get() == reads {
+            after(10).await;
+        }
+        // The last read of the isolation has just failed.
+        store.down.set(false);
+        receive_gossip_of_one_peer(&router);
+        let reads = store.reads.get();
+        after(3_000).await;
+        expire_peers();
+        after(1_200).await;
+        assert!(store.reads.get() > reads, "no read in the first second");
+    })
+    .await;
+}
+
 fn receive_gossip_of_one_peer(router: &Router) {
     let from = SocketAddr::from(([127, 0, 0, 1], 10));
     let gossip = steady_peer::steady_peer_gossip(from, 0, 0);
