--- a/crates/stacktack-direct/src/router.rs
+++ b/crates/stacktack-direct/src/router.rs
@@ -326,8 +326,12 @@
         self.bounds.get()
     }
 
-    /// Applies the settings that may change while the process runs: bounds and seeds.
+    /// Applies the settings that may change while the process runs: bounds and seeds. Logs the others
+    /// if they differ from those at the start, which stay in force.
     pub fn reload(&self, settings: &DirectSettings) {
+        for setting in self.settings.fixed_settings_that_differ(settings) {
+            log::warn!(target: "settings", "setting={setting} changed=true taken=false cause=applies_at_start");
+        }
         self.bounds.set(settings.bounds);
         self.shorten_grace(settings.bounds.grace);
         let mut pools = self.pools.borrow_mut();
--- a/crates/stacktack-direct/src/settings.rs
+++ b/crates/stacktack-direct/src/settings.rs
@@ -29,6 +29,23 @@
     pub memory: Option<MemoryBudget>,
 }
 
+impl DirectSettings {
+    /// Names of the settings that differ in `other` and that apply at the start of a process only.
+    pub fn fixed_settings_that_differ(&self, other: &DirectSettings) -> Vec<&'static str> {
+        let differs = [
+            ("name", self.name != other.name),
+            ("zone", self.zone != other.zone),
+            ("callers", self.callers != other.callers),
+            ("readiness", self.readiness != other.readiness),
+            ("metrics", self.metrics != other.metrics),
+            ("peers", self.peers.listen != other.peers.listen),
+            ("memory", self.memory != other.memory),
+        ];
+        let differs = differs.into_iter().filter(|(_, differs)| *differs);
+        differs.map(|(setting, _)| setting).collect()
+    }
+}
+
 /// Source from which settings are reloaded while the process runs.
 pub trait SettingsSource {
     /// Whether the settings may have changed since they were last read.
