--- a/crates/stacktack-direct/tests/departures_after_outages/main.rs
+++ b/crates/stacktack-direct/tests/departures_after_outages/main.rs
@@ -240,3 +240,32 @@
     check(cases(2, &outages, &strikes, &pauses_ms)).await;
     check(cases(4, &outages, &strikes, &pauses_ms)).await;
 }
+
+/// Guards against fleets of some size or kinds of outage for which the parts of the bound do not add
+/// up.
+#[tokio::test(start_paused = true)]
+async fn at_every_size_departures_are_known_in_time_after_outages_of_every_kind() {
+    let outages = [
+        (Service::Silent, 1.0),
+        (Service::Stalled, 1.0),
+        (Service::Refuses, 1.0),
+        (Service::Resets, 1.0),
+        (Service::Slow, 1.0),
+        (Service::Silent, 0.5),
+    ];
+    let strikes = [
+        (Strike::Frozen, 2),
+        (Strike::Killed, 1),
+        (Strike::CutOff, 2),
+    ];
+    check(cases(
+        4,
+        &outages,
+        &strikes,
+        &[1000, 2000, 3000, 4000, 60_000],
+    ))
+    .await;
+    check(cases(23, &outages, &strikes, &[1500, 4000])).await;
+    check(cases(103, &outages[..3], &strikes[..1], &[4000])).await;
+    check(cases(330, &outages[..2], &strikes[..1], &[4000])).await;
+}
