A return of the store and a suspension are not missed for a change of the belief about it

The waits are in order now, those that may not be missed first. The upper bound of the store's clock is computed without a fallback to 0. No test: which of two ready events is drawn is up to the runtime.

--- a/crates/stacktack-core/src/direct/sources/freshness.rs
+++ b/crates/stacktack-core/src/direct/sources/freshness.rs
@@ -34,8 +34,8 @@
     /// Upper bound on the time on the clock of the source, in milliseconds; `None` before the first
     /// answer.
     pub fn source_clock_ms(&self, now: Time) -> Option<u64> {
-        let since_answer = self.age(now)?.as_millis();
-        Some(self.answered_at_ms + u64::try_from(since_answer).unwrap_or(0))
+        let since_answer_ms = self.age(now)?.as_millis() as u64;
+        Some(self.answered_at_ms + since_answer_ms)
     }
 
     /// Records an answer that the source made at `answered_at_ms` on its own clock. The answer
--- a/crates/stacktack-direct/src/followers/configuration.rs
+++ b/crates/stacktack-direct/src/followers/configuration.rs
@@ -51,17 +51,9 @@
         let known = &router.freshness.configuration;
         let poll_due = follower.polls.due(&router, budget, known, watches);
         let event = tokio::select! {
-            event = calls.next_event(timeout) => event,
-            cause = poll_due, if may_poll => {
-                follower.poll(cause.as_str(), &mut calls);
-                continue;
-            }
-            () = router.configuration_poll_due.notified() => {
-                follower.poll("behind", &mut calls);
-                continue;
-            }
-            // When calls are late and polls are due follows from the belief about the store.
-            () = router.store.changed() => continue,
+            // A suspension or a return of the store also changes the belief about the store, and
+            // must not be missed for that change.
+            biased;
             () = router.wait_for_resume() => {
                 follower.record_unanswered(router.now());
                 calls.schedule(Duration::ZERO);
@@ -76,6 +68,17 @@
                 }
                 continue;
             }
+            event = calls.next_event(timeout) => event,
+            cause = poll_due, if may_poll => {
+                follower.poll(cause.as_str(), &mut calls);
+                continue;
+            }
+            () = router.configuration_poll_due.notified() => {
+                follower.poll("behind", &mut calls);
+                continue;
+            }
+            // When calls are late and polls are due follows from the belief about the store.
+            () = router.store.changed() => continue,
         };
         match event {
             CallEvent::Due
--- a/crates/stacktack-direct/src/followers/directory.rs
+++ b/crates/stacktack-direct/src/followers/directory.rs
@@ -168,17 +168,19 @@
                 .polls
                 .due(&self.router, budget, self.knowledge(), watches);
             tokio::select! {
-                event = calls.next_event(timeout) => return event,
-                cause = poll_due, if may_poll => self.poll(cause.as_str(), calls),
-                () = self.router.directory_poll_due.notified() => self.poll("behind", calls),
-                // When calls are late and polls are due follows from the belief about the store.
-                () = self.router.store.changed() => {}
+                // A suspension must not be missed for a change of the belief about the store.
+                biased;
                 () = self.router.wait_for_resume() => {
                     // Missing entries may only have been unable to renew themselves, and the call
                     // in flight may wait on a dead connection.
                     self.router.on_directory_failure(SourceError::Suspended);
                     calls.schedule(Duration::ZERO);
                 }
+                event = calls.next_event(timeout) => return event,
+                cause = poll_due, if may_poll => self.poll(cause.as_str(), calls),
+                () = self.router.directory_poll_due.notified() => self.poll("behind", calls),
+                // When calls are late and polls are due follows from the belief about the store.
+                () = self.router.store.changed() => {}
                 () = sleep(PENDING_REMOVALS_CHECK_INTERVAL), if self.has_pending_removals() =>
                     self.check_pending_removals(calls),
             }
