Departures after outages: fleets of one router, and the longest delays

The plays of tests/departures_after_outages print the longest time until a departure is known, and a router without peers is played after five kinds of outage.

--- a/crates/stacktack-direct/tests/departures_after_outages/main.rs
+++ b/crates/stacktack-direct/tests/departures_after_outages/main.rs
@@ -175,13 +175,16 @@
 /// entry in time is given up.
 async fn check(cases: Vec<Case>) {
     let mut failed = Vec::new();
-    let plays = cases.len();
+    let mut max_delay = Duration::ZERO;
+    let (routers, plays) = (cases[0].routers, cases.len());
     for case in cases {
         let outcome = play(case).await;
+        max_delay = max_delay.max(outcome.departure_delay);
         if outcome.departure_delay > bound(&case) || outcome.wrong_removals > 0 {
             failed.push((case, outcome));
         }
     }
+    println!("{routers} routers: at most {max_delay:?} in {plays} plays");
     assert!(
         failed.is_empty(),
         "{} of {plays} plays: {failed:#?}",
@@ -258,6 +261,8 @@
         (Strike::Killed, 1),
         (Strike::CutOff, 2),
     ];
+    let no_strike = [(Strike::Frozen, 0)];
+    check(cases(1, &outages[..5], &no_strike, &[1000, 4000])).await;
     check(cases(
         4,
         &outages,
