--- a/crates/stacktack-core/src/direct/back_ends/load.rs
+++ b/crates/stacktack-core/src/direct/back_ends/load.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use crate::direct::back_ends::peer_counts::PeerCounts;
 use crate::time::Time;
 
 /// Maximum age of a reported load that is combined with fresh counts from peers. Back ends
@@ -40,7 +41,7 @@
     /// Requests of this router.
     pub in_flight: u32,
     /// Requests of other routers, by their own last counts.
-    pub in_flight_from_peers: f64,
+    pub peer_counts: PeerCounts,
     /// Whether the peers' counts are as recent as reports of the back end.
     pub peer_counts_are_fresh: bool,
     last_report: Option<LastReportedLoad>,
@@ -60,9 +61,9 @@
         let from_peers = match report {
             Some(report) if !self.peer_counts_are_fresh => report.from_peers,
             Some(report) if now.since(report.at) < MAX_REPORT_AGE_BESIDE_PEER_COUNTS => {
-                report.from_peers.max(self.in_flight_from_peers)
+                report.from_peers.max(self.peer_counts.told())
             }
-            _ => self.in_flight_from_peers,
+            _ => self.peer_counts.told(),
         };
         f64::from(self.in_flight) + from_peers
     }
--- a/crates/stacktack-core/src/direct/back_ends/mod.rs
+++ b/crates/stacktack-core/src/direct/back_ends/mod.rs
@@ -5,6 +5,7 @@
 //! - [`back_end`]: the state that the router keeps for one back end.
 //! - [`compact_delta`]: compact wire encoding of a directory delta.
 //! - [`load`]: estimate of the requests in flight at a back end.
+//! - [`peer_counts`]: requests of other routers at a back end, by their own counts.
 //! - [`slow_start`]: rate limit for the requests that the fleet sends to a cold back end.
 //! - [`health`]: outlier-detection state of a back end against its pool.
 //! - [`outlier_detector`]: sequential test whether a back end fails more often than its pool.
@@ -19,6 +20,7 @@
 pub mod health;
 pub mod load;
 pub mod outlier_detector;
+pub mod peer_counts;
 pub mod slow_start;
 pub mod traffic_share;
 pub mod work_time;
--- /dev/null
+++ b/crates/stacktack-core/src/direct/back_ends/peer_counts.rs
@@ -0,0 +1,51 @@
+//! Requests of other routers in flight at a back end, by their own counts.
+
+use std::time::Duration;
+
+use crate::time::Time;
+
+/// Requests that one router had in flight at a back end.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PeerCount {
+    /// Number of requests.
+    pub requests: f64,
+    /// When the router told it.
+    pub at: Time,
+}
+
+/// Requests of all other routers that told some.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct PeerCounts {
+    counts: Vec<PeerCount>,
+}
+
+impl PeerCounts {
+    /// Adds what one router told.
+    pub fn add(&mut self, count: PeerCount) {
+        self.counts.push(count);
+    }
+
+    /// Sum of the requests as they were told.
+    pub fn told(&self) -> f64 {
+        self.counts.iter().map(|count| count.requests).sum()
+    }
+
+    /// Mean age of the requests that were told; `None` if none were.
+    pub fn mean_age(&self, now: Time) -> Option<Duration> {
+        let told = self.told();
+        let ages = self.counts.iter().map(|count| {
+            let age = now.since(count.at).as_secs_f64();
+            age * count.requests
+        });
+        let sum: f64 = ages.sum();
+        (told > 0.0).then(|| Duration::from_secs_f64(sum / told))
+    }
+}
+
+impl FromIterator<PeerCount> for PeerCounts {
+    fn from_iter<T: IntoIterator<Item = PeerCount>>(counts: T) -> Self {
+        PeerCounts {
+            counts: counts.into_iter().collect(),
+        }
+    }
+}
--- a/crates/stacktack-core/src/direct/peers/mod.rs
+++ b/crates/stacktack-core/src/direct/peers/mod.rs
@@ -23,6 +23,7 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, RngExt};
 
+use crate::direct::back_ends::peer_counts::{PeerCount, PeerCounts};
 use crate::direct::peers::bootstrap::{is_initialized, BootstrapPushes};
 use crate::direct::peers::peer_gossip::{OwnGossip, PeerGossip, ShortId, ZoneHash};
 use crate::time::Time;
@@ -516,12 +517,17 @@
 
     /// Requests in flight from all live peers, by back end, as far as the latest gossip of each
     /// lists them.
-    pub fn in_flight(&self) -> HashMap<ShortId, u32> {
-        let mut sums = HashMap::new();
-        for (id, requests) in self.peers.values().flat_map(|peer| &peer.in_flight) {
-            *sums.entry(*id).or_insert(0) += u32::from(*requests);
+    pub fn in_flight(&self) -> HashMap<ShortId, PeerCounts> {
+        let mut counts: HashMap<ShortId, PeerCounts> = HashMap::new();
+        for peer in self.peers.values() {
+            for (id, requests) in &peer.in_flight {
+                counts.entry(*id).or_default().add(PeerCount {
+                    requests: f64::from(*requests),
+                    at: peer.last_heard,
+                });
+            }
         }
-        sums
+        counts
     }
 
     /// Whether any peer reported within `MAX_STATE_AGE` that the directory is steady, as defined at
--- a/crates/stacktack-core/tests/admission/simulation.rs
+++ b/crates/stacktack-core/tests/admission/simulation.rs
@@ -14,6 +14,7 @@
 use stacktack_core::direct::admission::{AdmissionRequest, PoolAdmission, PoolDecision};
 use stacktack_core::direct::back_ends::health::Health;
 use stacktack_core::direct::back_ends::load::BackEndLoad;
+use stacktack_core::direct::back_ends::peer_counts::{PeerCount, PeerCounts};
 use stacktack_core::direct::choice::select::{select_by_affinity, DirectCandidate, SelectBounds};
 use stacktack_core::time::Time;
 
@@ -462,7 +463,10 @@
         for router in self.routers.iter_mut().skip(self.scenario.isolated) {
             for (load, requests) in router.loads.iter_mut().zip(loads) {
                 let from_peers = f64::from(*requests) - f64::from(load.in_flight);
-                load.in_flight_from_peers = from_peers.max(0.0);
+                load.peer_counts = PeerCounts::from_iter([PeerCount {
+                    requests: from_peers.max(0.0),
+                    at: self.queue.now - COUNTS_AGE,
+                }]);
                 load.peer_counts_are_fresh = true;
             }
         }
--- a/crates/stacktack-core/tests/peers.rs
+++ b/crates/stacktack-core/tests/peers.rs
@@ -3,6 +3,7 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 
+use stacktack_core::direct::back_ends::peer_counts::PeerCounts;
 use stacktack_core::direct::peers::peer_gossip::{OwnGossip, ShortId, ZoneHash};
 use stacktack_core::direct::peers::{OutgoingDatagram, Peers};
 use stacktack_core::time::Time;
@@ -99,7 +100,8 @@
         fleet.round(at(round * 250), &gossip);
     }
     assert_eq!(fleet.peers[0].live_count(), 3);
-    assert_eq!(fleet.peers[0].in_flight().get(&back_end()), Some(&6));
+    let counts = fleet.peers[0].in_flight();
+    assert_eq!(counts.get(&back_end()).map(PeerCounts::told), Some(6.0));
     assert!(fleet.peers[0].any_serving());
     fleet.peers[0].tick(&gossip[0], at(60_000));
     assert_eq!(fleet.peers[0].live_count(), 0);
--- a/crates/stacktack-core/tests/recovering_back_ends/simulation.rs
+++ b/crates/stacktack-core/tests/recovering_back_ends/simulation.rs
@@ -263,11 +263,11 @@
     }
 
     fn apply_peer_counts(&mut self) {
-        let loads = self.peers.in_flight();
+        let mut counts = self.peers.in_flight();
         let fresh = self.peers.has_short_round();
         for back_end in self.back_ends.iter_mut() {
             let short = ShortId::of(back_end.id_hash);
-            back_end.load.in_flight_from_peers = f64::from(loads.get(&short).copied().unwrap_or(0));
+            back_end.load.peer_counts = counts.remove(&short).unwrap_or_default();
             back_end.load.peer_counts_are_fresh = fresh;
         }
     }
--- a/crates/stacktack-direct/src/choice.rs
+++ b/crates/stacktack-direct/src/choice.rs
@@ -28,6 +28,29 @@
 /// again.
 const REANNOUNCE_AFTER: Duration = Duration::from_secs(8);
 
+/// What a router knows of the load of a back end.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct KnownLoad {
+    /// Requests of this router.
+    pub own: u32,
+    /// Requests of the other routers, as they last told.
+    pub from_peers: f64,
+    /// Age of the load that the back end reported; `None` if no report counts, or if the peers'
+    /// counts are used instead.
+    pub reported_age: Option<Duration>,
+    /// Mean age of the requests that the other routers told; `None` if they told none.
+    pub peer_counts_age: Option<Duration>,
+    /// Whether the back end is in the router's zone.
+    pub same_zone: bool,
+}
+
+fn milliseconds_text(duration: Option<Duration>) -> String {
+    duration.map_or_else(
+        || "-".to_owned(),
+        |duration| duration.as_millis().to_string(),
+    )
+}
+
 /// A chosen back end and what decided the choice.
 pub struct Choice {
     /// Id of the back end.
@@ -36,9 +59,8 @@
     pub selection: Selection,
     /// Health of the back end.
     pub health: Health,
-    /// Age of the load that the back end reported; `None` if no report counts, or if the peers'
-    /// counts are used instead.
-    pub load_age: Option<Duration>,
+    /// What is known of the load of the back end.
+    pub known_load: KnownLoad,
     /// Load of the pool; `None` if not known.
     pub pool_load: Option<PoolLoad>,
     /// How the members of the pool stand to their spill bound; empty for a request on probation.
@@ -57,7 +79,7 @@
     pub(crate) fn for_probation(
         candidate: &DirectCandidate,
         mean: f64,
-        load_age: Option<Duration>,
+        known_load: KnownLoad,
         back_end: String,
     ) -> Self {
         Choice {
@@ -71,7 +93,7 @@
                 start_index: None,
             },
             health: candidate.health,
-            load_age,
+            known_load,
             pool_load: None,
             census: PoolCensus::default(),
             first_event_after: None,
@@ -80,10 +102,21 @@
         }
     }
 
-    /// Age of the load in milliseconds, for logs.
+    /// Age of the reported load in milliseconds, for logs.
     pub(crate) fn load_age_text(&self) -> String {
-        self.load_age
-            .map_or_else(|| "-".to_owned(), |age| age.as_millis().to_string())
+        milliseconds_text(self.known_load.reported_age)
+    }
+
+    /// Log fields of what is known of the load of the back end.
+    pub(crate) fn known_load_fields(&self) -> String {
+        let known = &self.known_load;
+        format!(
+            "own={} from_peers={:.1} peer_counts_age_ms={} same_zone={}",
+            known.own,
+            known.from_peers,
+            milliseconds_text(known.peer_counts_age),
+            known.same_zone
+        )
     }
 
     /// Age of the pool's load in milliseconds, for logs.
--- a/crates/stacktack-direct/src/metrics.rs
+++ b/crates/stacktack-direct/src/metrics.rs
@@ -37,6 +37,7 @@
     first_byte: Histogram<f64>,
     complete_response: Histogram<f64>,
     load_age: Histogram<f64>,
+    peer_counts_age: Histogram<f64>,
     backlog: Histogram<f64>,
     backlog_age: Histogram<f64>,
     prediction_error: Histogram<f64>,
@@ -179,6 +180,10 @@
                 "stacktack_load_age",
                 "Age of the load that decided a choice",
             ),
+            peer_counts_age: histogram(
+                "stacktack_peer_counts_age",
+                "Mean age of the other routers' counts behind a choice of a back end that tells no load",
+            ),
         }
     }
 
@@ -336,6 +341,12 @@
         self.load_age.record(seconds, &[]);
     }
 
+    /// Records the age of the requests that other routers told, on which the choice of a back end
+    /// that reports no load is based.
+    pub fn record_peer_counts_age(&self, seconds: f64) {
+        self.peer_counts_age.record(seconds, &[]);
+    }
+
     /// Records the estimated wait at a chosen back end and the age of the report behind it.
     pub fn record_backlog(&self, backlog: &BacklogEstimate) {
         self.backlog.record(backlog.time.as_secs_f64(), &[]);
--- a/crates/stacktack-direct/src/placement.rs
+++ b/crates/stacktack-direct/src/placement.rs
@@ -85,13 +85,13 @@
         }?;
         let health = candidates.pool.list[selection.index].health;
         let back_end = candidates.ids[selection.index].clone();
-        let load_age = self.load_age(&back_end);
+        let known_load = self.known_load(&back_end);
         let work = candidates.work.get(selection.index).copied();
         Some(Choice {
             back_end,
             selection,
             health,
-            load_age,
+            known_load,
             pool_load,
             census: candidates.pool.census(&bounds),
             first_event_after: by_first_event
--- a/crates/stacktack-direct/src/quarantine.rs
+++ b/crates/stacktack-direct/src/quarantine.rs
@@ -267,7 +267,7 @@
             .estimate_work(self.pool(), &self.caller, &candidates.ids);
         Choice {
             work: work.get(index).copied(),
-            ..Choice::for_probation(candidate, mean, self.router.load_age(&back_end), back_end)
+            ..Choice::for_probation(candidate, mean, self.router.known_load(&back_end), back_end)
         }
     }
 }
--- a/crates/stacktack-direct/src/router.rs
+++ b/crates/stacktack-direct/src/router.rs
@@ -42,6 +42,7 @@
 use stacktack_core::time::Time;
 use tokio::sync::{watch, Notify};
 
+use crate::choice::KnownLoad;
 use crate::clock::{Clock, SuspensionDetector};
 use crate::crash_detection::CrashProbe;
 use crate::freshness::SourcesKnowledge;
@@ -421,23 +422,29 @@
 
     /// Updates how many requests of the peers are in flight at each back end.
     pub fn apply_peer_loads(&self) {
-        let loads = self.peers.borrow().in_flight();
+        let mut counts = self.peers.borrow().in_flight();
         let are_fresh = self.peers.borrow().has_short_round();
         for back_end in self.back_ends.borrow_mut().iter_mut() {
-            let load = loads.get(&ShortId::of(back_end.id_hash)).copied();
-            back_end.load.in_flight_from_peers = f64::from(load.unwrap_or(0));
+            let told = counts.remove(&ShortId::of(back_end.id_hash));
+            back_end.load.peer_counts = told.unwrap_or_default();
             back_end.load.peer_counts_are_fresh = are_fresh;
         }
     }
 
-    /// Age of the load that a back end reported; `None` if no report counts, or if the peers'
-    /// counts are used instead.
-    pub fn load_age(&self, back_end: &str) -> Option<Duration> {
-        self.back_ends
-            .borrow()
-            .get(back_end)?
-            .load
-            .reported_age(self.now())
+    /// What this router knows of the load of a back end; nothing if that is not listed.
+    pub fn known_load(&self, back_end: &str) -> KnownLoad {
+        let now = self.now();
+        let back_ends = self.back_ends.borrow();
+        let Some(known) = back_ends.get(back_end) else {
+            return KnownLoad::default();
+        };
+        KnownLoad {
+            own: known.load.in_flight,
+            from_peers: known.load.peer_counts.told(),
+            reported_age: known.load.reported_age(now),
+            peer_counts_age: known.load.peer_counts.mean_age(now),
+            same_zone: known.entry.zone() == Some(&self.settings.zone),
+        }
     }
 
     /// Random delay of this router's return to a back end after a pause: the routers that it turned
--- a/crates/stacktack-direct/src/sending.rs
+++ b/crates/stacktack-direct/src/sending.rs
@@ -119,8 +119,13 @@
     }
 
     fn record_choice(&self, choice: &Choice, on_probation: bool, fetch_from: Option<SocketAddr>) {
-        if let Some(age) = choice.load_age {
+        let known = &choice.known_load;
+        if let Some(age) = known.reported_age {
             self.router.metrics.record_load_age(age.as_secs_f64());
+        } else if let Some(age) = known.peer_counts_age {
+            self.router
+                .metrics
+                .record_peer_counts_age(age.as_secs_f64());
         }
         if choice.selection.load >= choice.census.bound && choice.census.members > 0 {
             let passed_by = choice.census.passes_by_avoided(choice.selection.load);
@@ -139,7 +144,7 @@
         }
         log::info!(
             target: "choice",
-            "id={} part={:x} tokens={} back_end={} version={} resumes={} probation={on_probation} load={:.1} load_age_ms={} mean={:.1} {} pool_fill={} first_event_ms={} placement={} {} rank={} standing={} trial={} announced={} fetch={} config={} directory={} directory_age_ms={} peers={}",
+            "id={} part={:x} tokens={} back_end={} version={} resumes={} probation={on_probation} load={:.1} load_age_ms={} {} mean={:.1} {} pool_fill={} first_event_ms={} placement={} {} rank={} standing={} trial={} announced={} fetch={} config={} directory={} directory_age_ms={} peers={}",
             self.id,
             self.caller.prompt.affinity_part().map_or(0, |part| part.id),
             self.caller.prompt.shared_tokens(),
@@ -148,6 +153,7 @@
             self.caller.resumes.as_deref().unwrap_or("-"),
             choice.selection.load,
             choice.load_age_text(),
+            choice.known_load_fields(),
             choice.selection.mean,
             choice.census_fields(),
             choice.pool_fill_text(),
