--- a/crates/stacktack-direct/tests/common/mod.rs
+++ b/crates/stacktack-direct/tests/common/mod.rs
@@ -76,8 +76,19 @@
     reason = "not all tests that share this module have several routers"
 )]
 pub fn router_at(address: SocketAddr) -> Rc<Router> {
+    router_in_zone(address, "zone")
+}
+
+/// Creates a router in a zone, without configuration and directory, whose peers reach it at
+/// `address`.
+#[allow(
+    dead_code,
+    reason = "not all tests that share this module have several zones"
+)]
+pub fn router_in_zone(address: SocketAddr, zone: &str) -> Rc<Router> {
     let mut settings = settings(&[], None);
     settings.peers.listen = address;
+    settings.zone = zone.to_owned();
     let metrics = Metrics::new().expect("metrics");
     let instruments = DirectMetrics::new(&metrics.meter());
     let protocol = Rc::new(RefusingProtocol::default());
--- a/crates/stacktack-direct/tests/unequal_traffic/back_ends.rs
+++ b/crates/stacktack-direct/tests/unequal_traffic/back_ends.rs
@@ -1,7 +1,6 @@
 //! Engines that read one prompt after another, and the load bound as they see it.
 
-use std::collections::{HashMap, HashSet, VecDeque};
-use std::fmt;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use rand::{RngExt, SeedableRng};
@@ -9,21 +8,11 @@
 use stacktack_core::direct::choice::prompt::PromptChain;
 use tokio::time::Instant;
 
+use crate::judged::Judged;
+
 /// Prompt tokens that an engine reads in a second.
 const READ_RATE: f64 = 22_000.0;
 
-/// Time for which the load bound is judged.
-const WINDOW: Duration = Duration::from_secs(5);
-
-/// Load bound: multiple of the mean load, requests beyond it, and the share of the requests that may
-/// reach a back end above it.
-const LOAD_CAP: f64 = 2.0;
-const LOAD_SLACK: f64 = 3.0;
-const MAX_SHARE_ABOVE: f64 = 0.03;
-
-/// Number of requests above the bound in a window up to which the window does not count.
-const MIN_ABOVE: usize = 20;
-
 /// Durations of work at engines as multiples of the usual one, in turn.
 const SLOWNESS: [f64; 3] = [1.0, 1.0, 1.3];
 
@@ -80,49 +69,6 @@
     pub unread: u32,
 }
 
-/// Requests that reached back ends, and those above the load bound.
-#[derive(Default)]
-pub struct Judged {
-    pub requests: usize,
-    pub above: usize,
-    /// Requests above the bound and all requests, in the window with the largest share of the former.
-    pub worst: (usize, usize),
-    /// Whether the share was too large in some window.
-    pub is_broken: bool,
-    recent: VecDeque<(Instant, bool)>,
-    recent_above: usize,
-}
-
-impl fmt::Debug for Judged {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let (above, requests) = self.worst;
-        write!(
-            formatter,
-            "{} of {}, {above} of {requests} in the worst window",
-            self.above, self.requests
-        )
-    }
-}
-
-impl Judged {
-    fn record(&mut self, is_above: bool, now: Instant) {
-        self.requests += 1;
-        self.above += usize::from(is_above);
-        self.recent.push_back((now, is_above));
-        self.recent_above += usize::from(is_above);
-        while let Some((_, was_above)) = self.recent.front().filter(|(at, _)| now - *at > WINDOW) {
-            self.recent_above -= usize::from(*was_above);
-            self.recent.pop_front();
-        }
-        let (above, requests) = (self.recent_above, self.recent.len());
-        if above * self.worst.1.max(1) > self.worst.0 * requests {
-            self.worst = (above, requests);
-        }
-        let share = above as f64 / requests as f64;
-        self.is_broken |= above >= MIN_ABOVE && share > MAX_SHARE_ABOVE;
-    }
-}
-
 /// Back ends by id.
 pub struct BackEndWorld {
     engines: HashMap<String, Engine>,
@@ -157,10 +103,9 @@
     /// A request arrives.
     pub fn accept(&mut self, id: &str, prompt: &PromptChain, writing: Duration) -> Service {
         let now = Instant::now();
-        let bound = LOAD_CAP * self.mean_held() + LOAD_SLACK;
-        let is_above = f64::from(self.engine(id).held) > bound;
+        let (held, mean) = (self.engine(id).held, self.mean_held());
         if now >= self.judged_from {
-            self.judged.record(is_above, now);
+            self.judged.record(held, mean, now);
         }
         let elapsed = self.started.elapsed();
         let engine = self.engine(id);
--- a/crates/stacktack-direct/tests/unequal_traffic/fleet.rs
+++ b/crates/stacktack-direct/tests/unequal_traffic/fleet.rs
@@ -23,8 +23,9 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, sleep_until, Instant};
 
-use crate::back_ends::{BackEndWorld, Judged, Service, ToldLoad};
+use crate::back_ends::{BackEndWorld, Service, ToldLoad};
 use crate::common::router_at;
+use crate::judged::Judged;
 use crate::network::Network;
 use crate::steady_peer::steady_peer_gossip;
 
--- a/crates/stacktack-direct/tests/unequal_traffic/main.rs
+++ b/crates/stacktack-direct/tests/unequal_traffic/main.rs
@@ -4,6 +4,9 @@
 #[path = "../common/mod.rs"]
 mod common;
 mod fleet;
+#[path = "../common/judged.rs"]
+mod judged;
+#[path = "../common/network.rs"]
 mod network;
 #[path = "../common/steady_peer.rs"]
 mod steady_peer;
