Requests that peers counted some time ago are not expected where they were

Cause: each router added what peers last told of their requests, however old that was, and went to the member that was least loaded a gossip tick ago, with all others. Requests of the service last 42 ms, a tick 100 ms, a round of 37 routers 10 s.

Now each router learns for how long requests in flight stay in flight. Of those that a peer told, the part that has ended by now is followed by requests that any member may have got, an even part of them each (less at members that peers avoid). The sum of what is believed stays the same, and what is not known any more prefers no member.

--- a/crates/stacktack-core/src/direct/admission/mod.rs
+++ b/crates/stacktack-core/src/direct/admission/mod.rs
@@ -43,6 +43,7 @@
 use crate::direct::admission::retry_after::RetryAfterSchedule;
 use crate::direct::admission::target_fill::TargetFill;
 use crate::direct::admission::tenant_shares::TenantShares;
+use crate::direct::back_ends::survival::Survival;
 use crate::time::Time;
 
 /// Share of the shortest latency objective that a request may wait at its back end; the
@@ -128,6 +129,7 @@
 pub struct PoolAdmission {
     /// Mean time for which a request occupies a slot, in seconds.
     hold_seconds: Option<f64>,
+    survival: Survival,
     timeouts: UsualTimeouts,
     /// Shortest recent latency objective, and when it was seen.
     shortest_objective: Option<(Duration, Time)>,
@@ -271,6 +273,7 @@
     /// are those of the back end when the request was sent: where the load exceeds the
     /// slots, the elapsed time grows with the load, and the excess was spent waiting.
     pub fn on_complete_response(&mut self, elapsed: Duration, load: f64, slots: u32) {
+        self.survival.record(elapsed);
         let running_share = (f64::from(slots) / load.max(1.0)).min(1.0);
         let seconds = (elapsed.as_secs_f64() * running_share).max(MIN_HOLD_SECONDS);
         let mean = self.hold_seconds.unwrap_or(seconds);
@@ -282,6 +285,11 @@
         self.hold_seconds = Some(mean + weight * (seconds - mean));
     }
 
+    /// How long the requests that are in flight stay in flight.
+    pub fn survival(&self) -> &Survival {
+        &self.survival
+    }
+
     /// Rate of the requests that this router admitted recently.
     pub fn admission_rate(&self) -> &DecayingRate {
         self.share.admission_rate()
--- a/crates/stacktack-core/src/direct/back_ends/load.rs
+++ b/crates/stacktack-core/src/direct/back_ends/load.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::direct::back_ends::peer_counts::PeerCounts;
+use crate::direct::back_ends::survival::Survival;
 use crate::time::Time;
 
 /// Maximum age of a reported load that is combined with fresh counts from peers. Back ends
@@ -28,6 +29,23 @@
     pub at: Time,
 }
 
+/// What is known of the requests of other routers at a back end.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum FromPeers {
+    /// Requests that the back end reported.
+    Reported(f64),
+    /// Requests that the other routers counted.
+    Counted {
+        /// Those that are expected to be running still.
+        remaining: f64,
+        /// Those that are expected to have ended. The requests that follow them may be at any member
+        /// of the pool.
+        ended: f64,
+        /// Requests that the back end reported very recently; 0 without such a report.
+        at_least: f64,
+    },
+}
+
 /// Start or end of a request of this router at a back end.
 #[derive(Clone, Copy, Debug)]
 struct InFlightChange {
@@ -51,21 +69,40 @@
 }
 
 impl BackEndLoad {
-    /// Estimated requests in flight from all routers: this router's own plus those of the others.
-    /// For the others, a small fleet uses the peers' counts, or a very recent report of the back
-    /// end if that is higher; a large fleet, where the peers' counts are seconds old, uses the
-    /// last report of the back end to any router, or the peers' counts if there is no recent
-    /// report.
+    /// Estimated requests in flight from all routers: this router's own plus those of the others,
+    /// with the peers' counts as they were told.
     pub fn estimate(&self, now: Time) -> f64 {
+        let from_peers = match self.from_peers(&Survival::default(), now) {
+            FromPeers::Reported(requests) => requests,
+            FromPeers::Counted {
+                remaining,
+                at_least,
+                ..
+            } => remaining.max(at_least),
+        };
+        f64::from(self.in_flight) + from_peers
+    }
+
+    /// What is known of the requests of other routers. A
+    /// small fleet uses the peers' counts, or a very recent report of the back end if that is higher; a
+    /// large fleet, where the peers' counts are seconds old, uses the last report of the back end to
+    /// any router, or the peers' counts if there is no recent report.
+    pub fn from_peers(&self, survival: &Survival, now: Time) -> FromPeers {
         let report = self.reported(now);
-        let from_peers = match report {
-            Some(report) if !self.peer_counts_are_fresh => report.from_peers,
-            Some(report) if now.since(report.at) < MAX_REPORT_AGE_BESIDE_PEER_COUNTS => {
-                report.from_peers.max(self.peer_counts.told())
+        let recent = match report {
+            Some(report) if !self.peer_counts_are_fresh => {
+                return FromPeers::Reported(report.from_peers);
+            }
+            report => {
+                report.filter(|report| now.since(report.at) < MAX_REPORT_AGE_BESIDE_PEER_COUNTS)
             }
-            _ => self.peer_counts.told(),
         };
-        f64::from(self.in_flight) + from_peers
+        let remaining = self.peer_counts.remaining(survival, now);
+        FromPeers::Counted {
+            remaining,
+            ended: self.peer_counts.told() - remaining,
+            at_least: recent.map_or(0.0, |report| report.from_peers),
+        }
     }
 
     /// Estimated requests in flight from other routers, without the one whose response told the load;
--- a/crates/stacktack-core/src/direct/back_ends/mod.rs
+++ b/crates/stacktack-core/src/direct/back_ends/mod.rs
@@ -9,6 +9,7 @@
 //! - [`slow_start`]: rate limit for the requests that the fleet sends to a cold back end.
 //! - [`health`]: outlier-detection state of a back end against its pool.
 //! - [`outlier_detector`]: sequential test whether a back end fails more often than its pool.
+//! - [`survival`]: how long requests that are in flight stay in flight.
 //! - [`traffic_share`]: this router's share of the requests to a pool.
 //! - [`work_time`]: current duration of work at a back end, relative to its usual duration.
 //! - [`zone_drain`]: zones whose back ends get no requests.
@@ -22,6 +23,7 @@
 pub mod outlier_detector;
 pub mod peer_counts;
 pub mod slow_start;
+pub mod survival;
 pub mod traffic_share;
 pub mod work_time;
 pub mod zone_drain;
--- a/crates/stacktack-core/src/direct/back_ends/peer_counts.rs
+++ b/crates/stacktack-core/src/direct/back_ends/peer_counts.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::direct::back_ends::survival::Survival;
 use crate::time::Time;
 
 /// Requests that one router had in flight at a back end.
@@ -30,6 +31,14 @@
         self.counts.iter().map(|count| count.requests).sum()
     }
 
+    /// Requests among the told ones that are expected to be in flight still.
+    pub fn remaining(&self, survival: &Survival, now: Time) -> f64 {
+        let counts = self.counts.iter();
+        let remaining =
+            counts.map(|count| count.requests * survival.share_after(now.since(count.at)));
+        remaining.sum()
+    }
+
     /// Mean age of the requests that were told; `None` if none were.
     pub fn mean_age(&self, now: Time) -> Option<Duration> {
         let told = self.told();
--- a/crates/stacktack-core/src/direct/choice/pool_candidates.rs
+++ b/crates/stacktack-core/src/direct/choice/pool_candidates.rs
@@ -4,6 +4,8 @@
 use crate::direct::admission::SlotLimit;
 use crate::direct::back_ends::back_end::BackEnd;
 use crate::direct::back_ends::health::Health;
+use crate::direct::back_ends::load::FromPeers;
+use crate::direct::back_ends::survival::Survival;
 use crate::direct::back_ends::traffic_share::PoolInFlight;
 use crate::direct::choice::select::{spill_bound, DirectCandidate, SelectBounds, Tier};
 use crate::time::Time;
@@ -17,6 +19,25 @@
     pub is_drained: bool,
 }
 
+/// A member of a pool at the time of a request.
+#[derive(Clone, Copy, Debug)]
+pub struct PoolMember<'a> {
+    /// State of the back end.
+    pub back_end: &'a BackEnd,
+    /// Its health for the request.
+    pub health: Health,
+    /// Its place in the pool.
+    pub place: MemberPlace,
+    /// Share of the other routers that are not known to avoid it.
+    pub used_by_peers: f64,
+}
+
+impl PoolMember<'_> {
+    fn is_eligible(&self, now: Time) -> bool {
+        !self.place.is_drained && self.back_end.may_get_requests(now)
+    }
+}
+
 /// How the members of a pool stand to the spill bound of a request, for logs and metrics.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct PoolCensus {
@@ -50,16 +71,23 @@
 }
 
 impl PoolCandidates {
-    /// Adds a member. Without a limit it never counts as full.
-    pub fn push(
-        &mut self,
-        member: &BackEnd,
-        health: Health,
-        place: MemberPlace,
+    /// The members of a pool. Without a limit none counts as full; `survival` is that of its requests.
+    pub fn new(
+        members: &[PoolMember<'_>],
         limit: Option<SlotLimit>,
+        survival: &Survival,
         now: Time,
-    ) {
-        let load = member.load.estimate(now);
+    ) -> Self {
+        let loads = expected_loads(members, survival, now);
+        let mut candidates = PoolCandidates::default();
+        for (member, load) in members.iter().zip(loads) {
+            candidates.push(member, load, limit, now);
+        }
+        candidates
+    }
+
+    fn push(&mut self, listed: &PoolMember<'_>, load: f64, limit: Option<SlotLimit>, now: Time) {
+        let member = listed.back_end;
         let age = member.load.estimate_age(now);
         let slots = member.entry.slots;
         // While the requests of other routers are not known, only this router's own count
@@ -75,9 +103,9 @@
             limit: limit.map_or(f64::INFINITY, |limit| {
                 limit.requests(slots) + load_beyond_own
             }),
-            same_zone: place.same_zone,
-            health,
-            eligible: !place.is_drained && member.may_get_requests(now),
+            same_zone: listed.place.same_zone,
+            health: listed.health,
+            eligible: listed.is_eligible(now),
         });
         self.reports.push(LoadReport { load, slots, age });
         let own = f64::from(member.load.in_flight);
@@ -145,3 +173,82 @@
         }
     }
 }
+
+/// Expected requests in flight at each member, from all routers.
+///
+/// What peers told is older than short requests take. The counted requests that have ended since are
+/// followed by others, which any eligible member may have got: each that no peer avoids is taken to have
+/// an even part of them. Taken where they were told, they would send all routers to the members that
+/// were idle then.
+fn expected_loads(
+    members: &[PoolMember<'_>],
+    survival: &Survival,
+    now: Time,
+) -> impl Iterator<Item = f64> {
+    let known: Vec<KnownRequests> = members
+        .iter()
+        .map(|member| KnownRequests::of(member, survival, now))
+        .collect();
+    let ended: f64 = known.iter().map(KnownRequests::ended).sum();
+    let weights: f64 = known.iter().map(KnownRequests::followers_weight).sum();
+    let followers = if weights > 0.0 { ended / weights } else { 0.0 };
+    known
+        .into_iter()
+        .map(move |requests| requests.expected(followers))
+}
+
+/// What is known of the requests in flight at a member.
+struct KnownRequests {
+    own: u32,
+    from_peers: FromPeers,
+    /// Share of the peers that send requests to the member.
+    used_by_peers: f64,
+}
+
+impl KnownRequests {
+    fn of(member: &PoolMember<'_>, survival: &Survival, now: Time) -> Self {
+        let load = &member.back_end.load;
+        // A back end that is silent ends no requests, and one that reports its load is known better.
+        let keeps_told = member.health == Health::Ejected || load.reported(now).is_some();
+        let all_survive = Survival::default();
+        let survival = if keeps_told { &all_survive } else { survival };
+        KnownRequests {
+            own: load.in_flight,
+            from_peers: load.from_peers(survival, now),
+            used_by_peers: if member.is_eligible(now) {
+                member.used_by_peers
+            } else {
+                0.0
+            },
+        }
+    }
+
+    /// Requests that peers counted and that have ended.
+    fn ended(&self) -> f64 {
+        match self.from_peers {
+            FromPeers::Reported(_) => 0.0,
+            FromPeers::Counted { ended, .. } => ended,
+        }
+    }
+
+    /// Part of the requests that follow ended ones, as a multiple of that of a member that all peers use.
+    fn followers_weight(&self) -> f64 {
+        match self.from_peers {
+            FromPeers::Reported(_) => 0.0,
+            FromPeers::Counted { .. } => self.used_by_peers,
+        }
+    }
+
+    /// Expected requests from all routers, where a member that all peers use gets this many followers.
+    fn expected(&self, followers: f64) -> f64 {
+        let from_peers = match self.from_peers {
+            FromPeers::Reported(requests) => requests,
+            FromPeers::Counted {
+                remaining,
+                at_least,
+                ..
+            } => (remaining + followers * self.used_by_peers).max(at_least),
+        };
+        f64::from(self.own) + from_peers
+    }
+}
--- a/crates/stacktack-core/tests/pool_candidates.rs
+++ b/crates/stacktack-core/tests/pool_candidates.rs
@@ -7,11 +7,29 @@
 use stacktack_core::direct::back_ends::back_end::BackEnd;
 use stacktack_core::direct::back_ends::directory::BackEndEntry;
 use stacktack_core::direct::back_ends::health::Health;
-use stacktack_core::direct::choice::pool_candidates::{MemberPlace, PoolCandidates};
+use stacktack_core::direct::back_ends::survival::Survival;
+use stacktack_core::direct::choice::pool_candidates::{MemberPlace, PoolCandidates, PoolMember};
 use stacktack_core::time::Time;
 
 const HOLD_SECONDS: f64 = 0.5;
 
+/// A back end that reported its load.
+fn back_end(number: usize, requests: u32, reported_at: Time) -> BackEnd {
+    let entry = BackEndEntry {
+        id: format!("b{number}"),
+        born: 0,
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        labels: Labels::new(),
+        slots: 64,
+        leaving: false,
+        cold_for: Duration::ZERO,
+        revision: 1,
+    };
+    let mut back_end = BackEnd::new(entry, Time(0));
+    back_end.load.on_report(requests, reported_at);
+    back_end
+}
+
 /// Members with a load report each: health, requests, and age of the report in milliseconds.
 fn candidates(members: &[(Health, u32, u64)]) -> PoolCandidates {
     let now = Time(60_000_000);
@@ -19,24 +37,23 @@
         same_zone: true,
         is_drained: false,
     };
-    let mut candidates = PoolCandidates::default();
-    for (number, (health, requests, age)) in members.iter().enumerate() {
-        let entry = BackEndEntry {
-            id: format!("b{number}"),
-            born: 0,
-            address: SocketAddr::from(([127, 0, 0, 1], 9)),
-            labels: Labels::new(),
-            slots: 64,
-            leaving: false,
-            cold_for: Duration::ZERO,
-            revision: 1,
-        };
-        let mut member = BackEnd::new(entry, Time(0));
-        member
-            .load
-            .on_report(*requests, now - Duration::from_millis(*age));
-        candidates.push(&member, *health, place, None, now);
-    }
+    let back_ends: Vec<BackEnd> = (0..)
+        .zip(members)
+        .map(|(number, (_, requests, age))| {
+            back_end(number, *requests, now - Duration::from_millis(*age))
+        })
+        .collect();
+    let members: Vec<PoolMember<'_>> = back_ends
+        .iter()
+        .zip(members)
+        .map(|(back_end, (health, ..))| PoolMember {
+            back_end,
+            health: *health,
+            place,
+            used_by_peers: 1.0,
+        })
+        .collect();
+    let mut candidates = PoolCandidates::new(&members, None, &Survival::default(), now);
     let pool = candidates.pool_load().expect("loads are known");
     candidates.apply_pool_load(&pool, HOLD_SECONDS);
     candidates
--- a/crates/stacktack-core/tests/recovering_back_ends/simulation.rs
+++ b/crates/stacktack-core/tests/recovering_back_ends/simulation.rs
@@ -11,10 +11,11 @@
 use stacktack_core::direct::back_ends::back_end::BackEnd;
 use stacktack_core::direct::back_ends::directory::{BackEndEntry, DirectoryChange};
 use stacktack_core::direct::back_ends::outlier_detector::{Retryability, TrialTerms};
+use stacktack_core::direct::back_ends::survival::Survival;
 use stacktack_core::direct::back_ends::traffic_share::TrafficShare;
 use stacktack_core::direct::back_ends::BackEnds;
 use stacktack_core::direct::choice::part_shares::{PartShares, PoolStats};
-use stacktack_core::direct::choice::pool_candidates::{MemberPlace, PoolCandidates};
+use stacktack_core::direct::choice::pool_candidates::{MemberPlace, PoolCandidates, PoolMember};
 use stacktack_core::direct::choice::select::{select_by_affinity, select_by_load, SelectBounds};
 use stacktack_core::direct::peers::peer_gossip::{
     OwnGossip, PeerGossip, RecoveryGossip, ShortId, ZoneHash,
@@ -180,6 +181,7 @@
     shares: PartShares,
     traffic: TrafficShare,
     admission: PoolAdmission,
+    survival: Survival,
 }
 
 fn address(number: usize) -> SocketAddr {
@@ -221,6 +223,7 @@
             shares: PartShares::default(),
             traffic: TrafficShare::default(),
             admission: PoolAdmission::default(),
+            survival: Survival::default(),
         }
     }
 
@@ -487,14 +490,21 @@
             .back_ends
             .assess_candidates(now, terms, |entry| !tried.contains(&entry.id));
         members.sort_unstable_by_key(|(member, _)| member.id_hash);
-        let mut candidates = PoolCandidates::default();
         let place = MemberPlace {
             same_zone: true,
             is_drained: false,
         };
-        for (member, health) in members {
-            candidates.push(member, health, place, Some(limit), now);
-        }
+        let peers = router.peers.live_count().max(1) as f64;
+        let members: Vec<PoolMember<'_>> = members
+            .into_iter()
+            .map(|(back_end, health)| PoolMember {
+                back_end,
+                health,
+                place,
+                used_by_peers: (1.0 - back_end.suspecting_peers(now) as f64 / peers).max(0.0),
+            })
+            .collect();
+        let mut candidates = PoolCandidates::new(&members, Some(limit), &router.survival, now);
         router.traffic.observe(candidates.in_flight(), now);
         if let Some(pool) = candidates.pool_load() {
             candidates.apply_pool_load(&pool, MEAN_HOLD_SECONDS);
@@ -551,8 +561,9 @@
         let Some(request) = self.requests.remove(&request) else {
             return;
         };
-        let known = self.routers[request.router].back_end(back_end);
-        known.load.on_end(now);
+        let router = &mut self.routers[request.router];
+        router.survival.record(request.hold);
+        router.back_end(back_end).load.on_end(now);
     }
 
     fn on_failed(&mut self, number: usize, back_end: usize) {
--- a/crates/stacktack-direct/src/candidates.rs
+++ b/crates/stacktack-direct/src/candidates.rs
@@ -6,14 +6,14 @@
 use stacktack_core::direct::admission::SlotLimit;
 use stacktack_core::direct::back_ends::directory::InstanceId;
 use stacktack_core::direct::back_ends::outlier_detector::TrialTerms;
-use stacktack_core::direct::choice::pool_candidates::{MemberPlace, PoolCandidates};
+use stacktack_core::direct::choice::pool_candidates::{MemberPlace, PoolCandidates, PoolMember};
 use stacktack_core::direct::request::attempt::AttemptFailure;
 use stacktack_core::direct::rollout::VersionSelection;
 use stacktack_core::direct::stream_versions::software_version::SoftwareVersion;
 use stacktack_core::time::Time;
 
 use crate::rollouts::VersionFilter;
-use crate::router::Router;
+use crate::router::{pool_name, Router};
 use crate::work::CandidateWork;
 
 impl Router {
@@ -101,16 +101,28 @@
                 && !excluded.contains(&entry.id)
                 && self.matches_version_filter(entry, filter)
         });
-        let mut candidates = Candidates::default();
-        for (member, health) in members {
-            let place = MemberPlace {
-                same_zone: member.entry.zone() == Some(&self.settings.zone),
-                is_drained: zone_drains.covers(&member.entry),
-            };
-            candidates.pool.push(member, health, place, limit, now);
-            candidates.ids.push(member.entry.id.clone());
+        let peers = self.peers.borrow().live_count().max(1) as f64;
+        let members: Vec<PoolMember<'_>> = members
+            .into_iter()
+            .map(|(back_end, health)| PoolMember {
+                back_end,
+                health,
+                place: MemberPlace {
+                    same_zone: back_end.entry.zone() == Some(&self.settings.zone),
+                    is_drained: zone_drains.covers(&back_end.entry),
+                },
+                used_by_peers: (1.0 - back_end.suspecting_peers(now) as f64 / peers).max(0.0),
+            })
+            .collect();
+        let survival = self.with_admission(pool_name(pool), |admission| *admission.survival());
+        let ids = members
+            .iter()
+            .map(|member| member.back_end.entry.id.clone());
+        Candidates {
+            pool: PoolCandidates::new(&members, limit, &survival, now),
+            ids: ids.collect(),
+            work: Vec::new(),
         }
-        candidates
     }
 }
 
--- a/crates/stacktack-direct/tests/plain_pools/main.rs
+++ b/crates/stacktack-direct/tests/plain_pools/main.rs
@@ -71,3 +71,29 @@
         }
     }
 }
+
+/// Takes minutes, so that it is run by hand.
+#[tokio::test(start_paused = true)]
+#[ignore]
+async fn callers_everywhere() {
+    for routers in [4, 6, 23, 37] {
+        for fill in [0.2, 0.5, 0.7, 0.9] {
+            for callers in [
+                Callers::AtFew(1),
+                Callers::AtFew(4),
+                Callers::MoreInFirstZone(2.0),
+                Callers::MoreInFirstZone(4.0),
+                Callers::MoreInFirstZone(1e6),
+            ] {
+                for error_share in [0.0, 0.14] {
+                    played(Scenario {
+                        callers,
+                        error_share,
+                        ..scenario(routers, fill, 1)
+                    })
+                    .await;
+                }
+            }
+        }
+    }
+}
