--- a/crates/stacktack-direct/src/followers/directory.rs
+++ b/crates/stacktack-direct/src/followers/directory.rs
@@ -309,8 +309,13 @@
     }
 
     fn apply_update(&self, update: DirectoryUpdate, now: Time) {
-        for id in &update.invalid_rows {
-            log::warn!(target: "directory", "back_end={id} taken=false cause=invalid_row");
+        for row in &update.invalid_rows {
+            log::warn!(
+                target: "directory",
+                "back_end={} taken=false cause=invalid_row error=\"{}\"",
+                row.key.escape_debug(),
+                row.cause,
+            );
         }
         let evidence = if self.is_steady(now) && self.knows_renewals(now) {
             RemovalEvidence::StoreSteady
--- a/crates/stacktack-direct/src/ports.rs
+++ b/crates/stacktack-direct/src/ports.rs
@@ -296,8 +296,17 @@
     pub answered_at_ms: u64,
     /// The changes. Their revision is that of the newest change; 0 if there is none.
     pub delta: DirectoryDelta,
-    /// Keys of rows that cannot be parsed and are left out.
-    pub invalid_rows: Vec<String>,
+    /// Rows that cannot be parsed and are left out.
+    pub invalid_rows: Vec<InvalidRow>,
+}
+
+/// A row that cannot be parsed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct InvalidRow {
+    /// Key of the row.
+    pub key: String,
+    /// Why it cannot be parsed.
+    pub cause: String,
 }
 
 /// Source of the configuration.
