--- a/crates/stacktack-core/src/direct/back_ends/load.rs
+++ b/crates/stacktack-core/src/direct/back_ends/load.rs
@@ -83,10 +83,10 @@
         f64::from(self.in_flight) + from_peers
     }
 
-    /// What is known of the requests of other routers. A
-    /// small fleet uses the peers' counts, or a very recent report of the back end if that is higher; a
-    /// large fleet, where the peers' counts are seconds old, uses the last report of the back end to
-    /// any router, or the peers' counts if there is no recent report.
+    /// What is known of the requests of other routers. A small fleet uses the peers' counts, or a very
+    /// recent report of the back end if that is higher; a large fleet, where the peers' counts are
+    /// seconds old, uses the last report of the back end to any router, or the peers' counts if there
+    /// is no recent report.
     pub fn from_peers(&self, survival: &Survival, now: Time) -> FromPeers {
         let report = self.reported(now);
         let recent = match report {
--- a/crates/stacktack-direct/tests/plain_pools/fleet.rs
+++ b/crates/stacktack-direct/tests/plain_pools/fleet.rs
@@ -1,7 +1,7 @@
 //! Routers that place requests for a plain service, on virtual time.
 
 use std::cell::{Cell, RefCell};
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -26,6 +26,7 @@
 use crate::common::router_in_zone;
 use crate::judged::Judged;
 use crate::network::Network;
+use crate::pool::{address_of, pool_of};
 use crate::steady_peer::steady_peer_gossip;
 
 /// Value of the label that all members of the pool have.
@@ -114,7 +115,7 @@
         routers,
         world: RefCell::new(WorkerWorld::new(&ids, judged_from)),
         random: RefCell::new(ChaCha8Rng::seed_from_u64(scenario.seed)),
-        pool: pool(),
+        pool: pool_of(POOL),
         refused: Cell::default(),
         placed: Cell::default(),
         crossed: Cell::default(),
@@ -142,22 +143,6 @@
     format!("zone-{}", number % ZONES)
 }
 
-fn pool() -> Vec<Requirement> {
-    vec![Requirement {
-        key: "service".to_owned(),
-        equals: Some(POOL.to_owned()),
-        not_equals: None,
-        one_of: None,
-        not_in: None,
-        exists: None,
-    }]
-}
-
-fn address_of(number: usize) -> SocketAddr {
-    let [high, low] = (number as u16).to_be_bytes();
-    SocketAddr::from((Ipv4Addr::new(127, 1, high, low), 7340))
-}
-
 fn entry(number: usize) -> BackEndEntry {
     BackEndEntry {
         id: member_id(number),
--- a/crates/stacktack-direct/tests/plain_pools/main.rs
+++ b/crates/stacktack-direct/tests/plain_pools/main.rs
@@ -8,6 +8,8 @@
 mod judged;
 #[path = "../common/network.rs"]
 mod network;
+#[path = "../common/pool.rs"]
+mod pool;
 #[path = "../common/steady_peer.rs"]
 mod steady_peer;
 
@@ -23,6 +25,18 @@
     LocalSet::new().run_until(play(scenario)).await
 }
 
+/// Whether the load bound holds, with none above it in small fleets and less than one in a hundred in
+/// fleets of up to 37 routers.
+fn keeps_load_bound(routers: usize, played: &Played) -> bool {
+    let judged = &played.judged;
+    let max_above = match routers {
+        0..=4 => 0,
+        5..=37 => judged.requests / 100,
+        _ => usize::MAX,
+    };
+    !judged.is_broken && judged.above <= max_above
+}
+
 fn scenario(routers: usize, fill: f64, seed: u64) -> Scenario {
     Scenario {
         routers,
@@ -40,20 +54,23 @@
     for routers in [4, 6, 7, 23, 37] {
         for fill in [0.3, 0.7, 0.9] {
             let played = played(scenario(routers, fill, 1)).await;
-            assert!(!played.judged.is_broken, "{routers}, {fill}: {played:?}");
+            assert!(
+                keeps_load_bound(routers, &played),
+                "{routers}, {fill}: {played:?}"
+            );
         }
     }
 }
 
 #[tokio::test(start_paused = true)]
 async fn a_zone_with_most_callers_does_not_break_the_load_bound_of_its_own_member() {
-    for (routers, times) in [(37, 3.0), (37, 100.0), (103, 100.0)] {
+    for (routers, times) in [(37, 2.0), (37, 3.0), (37, 100.0), (103, 100.0)] {
         for fill in [0.2, 0.5] {
             let callers = Callers::MoreInFirstZone(times);
             let even = scenario(routers, fill, 1);
             let played = played(Scenario { callers, ..even }).await;
             assert!(
-                !played.judged.is_broken,
+                keeps_load_bound(routers, &played),
                 "{routers}, {times}, {fill}: {played:?}"
             );
         }
--- a/crates/stacktack-direct/tests/unequal_traffic/fleet.rs
+++ b/crates/stacktack-direct/tests/unequal_traffic/fleet.rs
@@ -1,7 +1,7 @@
 //! Routers that place requests of callers who are spread over some of them only, on virtual time.
 
 use std::cell::RefCell;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -27,6 +27,7 @@
 use crate::common::router_at;
 use crate::judged::Judged;
 use crate::network::Network;
+use crate::pool::{address_of, pool_of};
 use crate::steady_peer::steady_peer_gossip;
 
 /// Value of the label that all members of the pool have.
@@ -137,7 +138,7 @@
         world: RefCell::new(BackEndWorld::new(&ids, judged_from)),
         own_shares: RefCell::default(),
         random: RefCell::new(ChaCha8Rng::seed_from_u64(scenario.seed)),
-        pool: pool(),
+        pool: pool_of(POOL),
     });
     let end = judged_from + JUDGED_TIME;
     while Instant::now() < end {
@@ -167,22 +168,6 @@
     format!("engine-{number}")
 }
 
-fn pool() -> Vec<Requirement> {
-    vec![Requirement {
-        key: "service".to_owned(),
-        equals: Some(POOL.to_owned()),
-        not_equals: None,
-        one_of: None,
-        not_in: None,
-        exists: None,
-    }]
-}
-
-fn address_of(number: usize) -> SocketAddr {
-    let [high, low] = (number as u16).to_be_bytes();
-    SocketAddr::from((Ipv4Addr::new(127, 1, high, low), 7340))
-}
-
 fn entry(number: usize) -> BackEndEntry {
     BackEndEntry {
         id: member_id(number),
@@ -207,7 +192,7 @@
     router.apply_configuration(Arc::new(TrafficConfiguration {
         version: 1,
         engine_pools: vec![EnginePool {
-            back_ends: pool(),
+            back_ends: pool_of(POOL),
             slots: 64,
             cache_tokens: 174_000,
         }],
--- a/crates/stacktack-direct/tests/unequal_traffic/main.rs
+++ b/crates/stacktack-direct/tests/unequal_traffic/main.rs
@@ -8,6 +8,8 @@
 mod judged;
 #[path = "../common/network.rs"]
 mod network;
+#[path = "../common/pool.rs"]
+mod pool;
 #[path = "../common/steady_peer.rs"]
 mod steady_peer;
 
