What peers told is summed once, and its expected part is computed in one place

Told requests were summed anew for each member up to five times a choice (estimate, traffic and zone shares, log line), over all peers; now as they are added, ten times a second. Two matches over FromPeers computed the same expectation. A conversion that only tests used is gone. No behaviour changes; tests keep their assertions.

--- a/crates/stacktack-core/src/direct/back_ends/load.rs
+++ b/crates/stacktack-core/src/direct/back_ends/load.rs
@@ -46,6 +46,28 @@
     },
 }
 
+impl FromPeers {
+    /// Requests that peers counted and that have ended.
+    pub fn ended(&self) -> f64 {
+        match self {
+            FromPeers::Reported(_) => 0.0,
+            FromPeers::Counted { ended, .. } => *ended,
+        }
+    }
+
+    /// Expected requests, where this many followed the ended ones there; a report includes them.
+    pub fn expected(&self, followers: f64) -> f64 {
+        match self {
+            FromPeers::Reported(requests) => *requests,
+            FromPeers::Counted {
+                remaining,
+                at_least,
+                ..
+            } => (remaining + followers).max(*at_least),
+        }
+    }
+}
+
 /// Start or end of a request of this router at a back end.
 #[derive(Clone, Copy, Debug)]
 struct InFlightChange {
@@ -72,15 +94,8 @@
     /// Estimated requests in flight from all routers: this router's own plus those of the others,
     /// with the peers' counts as they were told.
     pub fn estimate(&self, now: Time) -> f64 {
-        let from_peers = match self.from_peers(&Survival::default(), now) {
-            FromPeers::Reported(requests) => requests,
-            FromPeers::Counted {
-                remaining,
-                at_least,
-                ..
-            } => remaining.max(at_least),
-        };
-        f64::from(self.in_flight) + from_peers
+        let from_peers = self.from_peers(&Survival::default(), now);
+        f64::from(self.in_flight) + from_peers.expected(0.0)
     }
 
     /// What is known of the requests of other routers. A small fleet uses the peers' counts, or a very
--- a/crates/stacktack-core/src/direct/back_ends/peer_counts.rs
+++ b/crates/stacktack-core/src/direct/back_ends/peer_counts.rs
@@ -20,23 +20,28 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct PeerCounts {
     counts: Vec<PeerCount>,
+    told: f64,
+    told_in_zone: f64,
 }
 
 impl PeerCounts {
     /// Adds what one router told.
     pub fn add(&mut self, count: PeerCount) {
+        self.told += count.requests;
+        if count.same_zone {
+            self.told_in_zone += count.requests;
+        }
         self.counts.push(count);
     }
 
     /// Sum of the requests as they were told.
     pub fn told(&self) -> f64 {
-        self.counts.iter().map(|count| count.requests).sum()
+        self.told
     }
 
     /// Sum of the requests of routers of this router's zone, as they were told.
     pub fn told_in_zone(&self) -> f64 {
-        let in_zone = self.counts.iter().filter(|count| count.same_zone);
-        in_zone.map(|count| count.requests).sum()
+        self.told_in_zone
     }
 
     /// Requests among the told ones that are expected to be in flight still.
@@ -58,11 +63,3 @@
         (told > 0.0).then(|| Duration::from_secs_f64(sum / told))
     }
 }
-
-impl FromIterator<PeerCount> for PeerCounts {
-    fn from_iter<T: IntoIterator<Item = PeerCount>>(counts: T) -> Self {
-        PeerCounts {
-            counts: counts.into_iter().collect(),
-        }
-    }
-}
--- a/crates/stacktack-core/src/direct/choice/pool_candidates.rs
+++ b/crates/stacktack-core/src/direct/choice/pool_candidates.rs
@@ -205,7 +205,10 @@
         .iter()
         .map(|member| KnownRequests::of(member, survival, now))
         .collect();
-    let ended: f64 = known.iter().map(KnownRequests::ended).sum();
+    let ended: f64 = known
+        .iter()
+        .map(|requests| requests.from_peers.ended())
+        .sum();
     let receivers = known.iter().filter(|requests| requests.gets_followers());
     let followers = ended / receivers.count().max(1) as f64;
     known
@@ -234,14 +237,6 @@
         }
     }
 
-    /// Requests that peers counted and that have ended.
-    fn ended(&self) -> f64 {
-        match self.from_peers {
-            FromPeers::Reported(_) => 0.0,
-            FromPeers::Counted { ended, .. } => ended,
-        }
-    }
-
     /// Whether requests that follow ended ones are expected there beside those that are known.
     fn gets_followers(&self) -> bool {
         self.is_eligible && matches!(self.from_peers, FromPeers::Counted { .. })
@@ -254,14 +249,6 @@
         } else {
             0.0
         };
-        let from_peers = match self.from_peers {
-            FromPeers::Reported(requests) => requests,
-            FromPeers::Counted {
-                remaining,
-                at_least,
-                ..
-            } => (remaining + followers).max(at_least),
-        };
-        f64::from(self.own) + from_peers
+        f64::from(self.own) + self.from_peers.expected(followers)
     }
 }
--- a/crates/stacktack-core/tests/admission/simulation.rs
+++ b/crates/stacktack-core/tests/admission/simulation.rs
@@ -463,11 +463,12 @@
         for router in self.routers.iter_mut().skip(self.scenario.isolated) {
             for (load, requests) in router.loads.iter_mut().zip(loads) {
                 let from_peers = f64::from(*requests) - f64::from(load.in_flight);
-                load.peer_counts = PeerCounts::from_iter([PeerCount {
+                load.peer_counts = PeerCounts::default();
+                load.peer_counts.add(PeerCount {
                     requests: from_peers.max(0.0),
                     at: self.queue.now - COUNTS_AGE,
                     same_zone: true,
-                }]);
+                });
                 load.peer_counts_are_fresh = true;
             }
         }
--- a/crates/stacktack-core/tests/back_end_state.rs
+++ b/crates/stacktack-core/tests/back_end_state.rs
@@ -8,7 +8,7 @@
 use stacktack_core::direct::back_ends::directory::{BackEndEntry, DirectoryChange, RemovedEntry};
 use stacktack_core::direct::back_ends::health::Health;
 use stacktack_core::direct::back_ends::outlier_detector::Retryability;
-use stacktack_core::direct::back_ends::peer_counts::{PeerCount, PeerCounts};
+use stacktack_core::direct::back_ends::peer_counts::PeerCount;
 use stacktack_core::direct::back_ends::BackEnds;
 use stacktack_core::direct::choice::select::{
     likely_holder, select_by_affinity, DirectCandidate, SelectBounds,
@@ -19,12 +19,12 @@
     Time(milliseconds * 1000)
 }
 
-fn told_by_a_peer(requests: f64, at: Time) -> PeerCounts {
-    PeerCounts::from_iter([PeerCount {
+fn told_by_a_peer(requests: f64, at: Time) -> PeerCount {
+    PeerCount {
         requests,
         at,
         same_zone: false,
-    }])
+    }
 }
 
 fn entry(id: &str) -> BackEndEntry {
@@ -207,7 +207,7 @@
     let mut all = back_ends(&["a"]);
     let member = all.get_mut("a").expect("known");
     member.on_send(at(0));
-    member.load.peer_counts = told_by_a_peer(2.0, at(0));
+    member.load.peer_counts.add(told_by_a_peer(2.0, at(0)));
     member.load.peer_counts_are_fresh = true;
     let near = |left: f64, right: f64| (left - right).abs() < 1e-9;
     assert!(near(member.load.estimate(at(0)), 3.0));
@@ -228,7 +228,7 @@
     let mut all = back_ends(&["a"]);
     let member = all.get_mut("a").expect("known");
     member.on_send(at(0));
-    member.load.peer_counts = told_by_a_peer(2.0, at(0));
+    member.load.peer_counts.add(told_by_a_peer(2.0, at(0)));
     let near = |left: f64, right: f64| (left - right).abs() < 1e-9;
     assert!(near(member.load.estimate(at(0)), 3.0));
     member.load.on_report(6, at(10));
--- a/crates/stacktack-core/tests/traffic_share.rs
+++ b/crates/stacktack-core/tests/traffic_share.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use stacktack_core::direct::back_ends::load::BackEndLoad;
-use stacktack_core::direct::back_ends::peer_counts::{PeerCount, PeerCounts};
+use stacktack_core::direct::back_ends::peer_counts::PeerCount;
 use stacktack_core::direct::back_ends::traffic_share::{PoolInFlight, TrafficShare};
 use stacktack_core::time::Time;
 
@@ -78,11 +78,11 @@
 #[test]
 fn counts_of_peers_are_taken_as_they_are() {
     let mut load = BackEndLoad::default();
-    load.peer_counts = PeerCounts::from_iter([PeerCount {
+    load.peer_counts.add(PeerCount {
         requests: 3.0,
         at: at(0),
         same_zone: false,
-    }]);
+    });
     load.peer_counts_are_fresh = true;
     assert_eq!(load.usual_from_peers(at(0)), Some(3.0));
 }
