--- /dev/null
+++ b/review/standins-2/src/main.rs
@@ -0,0 +1,40 @@
+//! Cases of the review: `review-standins-2 CASE RECORD`. Exits with 1 if the rule was broken, 0 if it
+//! held, 2 if the case couldn't run. With `TROUBLE=0` the disruption is left out.
+
+mod client;
+mod engine;
+mod fleet;
+mod http;
+mod json;
+mod resumed_twice;
+mod store;
+
+use std::path::Path;
+use std::process::ExitCode;
+
+use fleet::Record;
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let [case, record] = arguments.as_slice() else {
+        eprintln!("usage: review-standins-2 CASE RECORD");
+        return ExitCode::from(2);
+    };
+    // A case that panics couldn't run.
+    let result = std::panic::catch_unwind(|| {
+        let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+        let record = Record::create(Path::new(record));
+        record.line(&format!("case={case} trouble={trouble}"));
+        let held = match case.as_str() {
+            "resumed-twice" => resumed_twice::run(record.clone(), trouble),
+            _ => return None,
+        };
+        record.line(if held { "the rule held" } else { "the rule was broken" });
+        Some(held)
+    });
+    match result {
+        Ok(Some(true)) => ExitCode::SUCCESS,
+        Ok(Some(false)) => ExitCode::from(1),
+        Ok(None) | Err(_) => ExitCode::from(2),
+    }
+}
