--- a/review/standins-2/src/engine.rs
+++ b/review/standins-2/src/engine.rs
@@ -68,8 +68,14 @@
             cancelled: false,
             last_event: None,
         });
-        let after = if resumes_after.is_empty() { "-" } else { resumes_after };
-        self.record.line(&format!("run began id={id} worker={worker} last_event_id={after}"));
+        let after = if resumes_after.is_empty() {
+            "-"
+        } else {
+            resumes_after
+        };
+        self.record.line(&format!(
+            "run began id={id} worker={worker} last_event_id={after}"
+        ));
         runs.len() - 1
     }
 
@@ -148,10 +154,13 @@
                 .is_ok();
         runs.change(run, |run| run.last_event = Some(Instant::now()));
         if let Some((_, pause)) = plan.preempted.filter(|(after, _)| *after == number) {
-            runs.record.line(&format!("run preempted id={id} worker={worker} after_event={number}"));
+            runs.record.line(&format!(
+                "run preempted id={id} worker={worker} after_event={number}"
+            ));
             alive &= wait(pause, writer);
             if alive {
-                runs.record.line(&format!("run goes on id={id} worker={worker}"));
+                runs.record
+                    .line(&format!("run goes on id={id} worker={worker}"));
             }
         }
         alive &= wait(PACE, writer);
@@ -168,7 +177,8 @@
         (true, true) => "whole, answer lost",
         (true, false) => "whole",
     };
-    runs.record.line(&format!("run ended id={id} worker={worker} end=\"{end}\""));
+    runs.record
+        .line(&format!("run ended id={id} worker={worker} end=\"{end}\""));
     (alive && !plan.answer_lost).then_some(())
 }
 
--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -33,7 +33,9 @@
 impl Record {
     pub fn create(path: &Path) -> Self {
         Record {
-            file: Arc::new(Mutex::new(File::create(path).expect("the record is created"))),
+            file: Arc::new(Mutex::new(
+                File::create(path).expect("the record is created"),
+            )),
             started: Instant::now(),
         }
     }
@@ -130,7 +132,8 @@
             }
             thread::sleep(Duration::from_millis(50));
         }
-        self.record.line(&format!("router {number} ready clients={}", router.clients));
+        self.record
+            .line(&format!("router {number} ready clients={}", router.clients));
         router
     }
 
@@ -237,7 +240,9 @@
     /// Sends a signal by its name.
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
-        let sent = Command::new("kill").args([&format!("-{name}"), &id]).status();
+        let sent = Command::new("kill")
+            .args([&format!("-{name}"), &id])
+            .status();
         assert!(sent.is_ok_and(|status| status.success()), "signal {name}");
     }
 
--- a/review/standins-2/src/http.rs
+++ b/review/standins-2/src/http.rs
@@ -39,7 +39,8 @@
     }
 
     pub fn is_chunked(&self) -> bool {
-        self.header("transfer-encoding").eq_ignore_ascii_case("chunked")
+        self.header("transfer-encoding")
+            .eq_ignore_ascii_case("chunked")
     }
 
     pub fn content_length(&self) -> Option<usize> {
--- a/review/standins-2/src/json.rs
+++ b/review/standins-2/src/json.rs
@@ -59,11 +59,7 @@
 
 impl Parser<'_> {
     fn peek(&mut self) -> Option<u8> {
-        while self
-            .bytes
-            .get(self.at)
-            .is_some_and(u8::is_ascii_whitespace)
-        {
+        while self.bytes.get(self.at).is_some_and(u8::is_ascii_whitespace) {
             self.at += 1;
         }
         self.bytes.get(self.at).copied()
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -7,6 +7,7 @@
 mod http;
 mod json;
 mod resumed_twice;
+mod spoiled_length;
 mod store;
 
 use std::path::Path;
@@ -27,9 +28,14 @@
         record.line(&format!("case={case} trouble={trouble}"));
         let held = match case.as_str() {
             "resumed-twice" => resumed_twice::run(record.clone(), trouble),
+            "spoiled-length" => spoiled_length::run(record.clone(), trouble),
             _ => return None,
         };
-        record.line(if held { "the rule held" } else { "the rule was broken" });
+        record.line(if held {
+            "the rule held"
+        } else {
+            "the rule was broken"
+        });
         Some(held)
     });
     match result {
--- a/review/standins-2/src/resumed_twice.rs
+++ b/review/standins-2/src/resumed_twice.rs
@@ -27,8 +27,14 @@
     let fleet = Fleet::start(record.clone());
     let runs = Runs::new(record.clone());
     let planner: Planner = Arc::new(move |request: &Message, earlier| {
-        if !request.header("stacktack-attempt-id").starts_with("checked") {
-            return Plan { events: 3, ..Plan::default() };
+        if !request
+            .header("stacktack-attempt-id")
+            .starts_with("checked")
+        {
+            return Plan {
+                events: 3,
+                ..Plan::default()
+            };
         }
         match earlier {
             // Memory has run out: the run is preempted in the middle of its stream and read anew.
@@ -45,8 +51,13 @@
         }
     });
     for (number, id) in [(1, "i-1"), (2, "i-2")] {
-        engine::start(id, fleet.worker_address(number), runs.clone(), planner.clone())
-            .expect("the worker listens");
+        engine::start(
+            id,
+            fleet.worker_address(number),
+            runs.clone(),
+            planner.clone(),
+        )
+        .expect("the worker listens");
         fleet.list_worker(id, "llm", number, 64, "ready");
     }
     fleet.store.put("op", "config", CONFIGURATION);
@@ -92,7 +103,11 @@
 /// Whether no worker worked on the request 400 ms after a later one had begun to.
 fn check(id: &str, events: &[String], runs: &Runs, record: &Record) -> bool {
     let runs = runs.of(id);
-    record.line(&format!("check id={id} runs={} events={}", runs.len(), events.len()));
+    record.line(&format!(
+        "check id={id} runs={} events={}",
+        runs.len(),
+        events.len()
+    ));
     let Some([before, later]) = runs.get(..2) else {
         record.line(&format!("check id={id} was not continued elsewhere"));
         return true;
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -81,14 +81,20 @@
                 "HTTP/1.1 {status} -\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
                 body.len()
             );
-            if writer.write_all(format!("{head}{body}").as_bytes()).is_err() {
+            if writer
+                .write_all(format!("{head}{body}").as_bytes())
+                .is_err()
+            {
                 return;
             }
         }
     }
 
     fn respond(&self, request: &Message) -> (u16, String) {
-        let (path, query) = request.target().split_once('?').unwrap_or((request.target(), ""));
+        let (path, query) = request
+            .target()
+            .split_once('?')
+            .unwrap_or((request.target(), ""));
         let query = parse_query(query);
         let field = |name: &str| query.get(name).cloned().unwrap_or_default();
         match (request.method(), path) {
@@ -111,9 +117,10 @@
                 let (tables, changed) = &*self.tables;
                 let mut tables = tables.lock().unwrap();
                 loop {
-                    let rows = tables.rows.iter().filter(|((table, _), row)| {
-                        *table == field("table") && row.ver > after
-                    });
+                    let rows = tables
+                        .rows
+                        .iter()
+                        .filter(|((table, _), row)| *table == field("table") && row.ver > after);
                     let mut rows: Vec<_> = rows.collect();
                     let left = end.saturating_duration_since(Instant::now());
                     if !rows.is_empty() || left.is_zero() {
@@ -143,9 +150,10 @@
         });
         if !holds {
             let rows = expected.iter().map(&key).collect::<Vec<_>>();
-            let rows = tables.rows.iter().filter(|(known, row)| {
-                rows.contains(known) && row.value.is_some()
-            });
+            let rows = tables
+                .rows
+                .iter()
+                .filter(|(known, row)| rows.contains(known) && row.value.is_some());
             let rows: Vec<String> = rows.map(row_text).collect();
             return (412, self.answer(&rows, tables.ver, ""));
         }
