--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -59,11 +59,56 @@
     directory: PathBuf,
     pub store: Store,
     pub record: Record,
+    machine: Machine,
 }
 
+/// What a router's machine has, and the bounds of its deployment that differ.
+#[derive(Clone, Copy)]
+struct Machine {
+    cpu_share: f64,
+    memory_mb: u32,
+    max_fds: u32,
+    link_mbps: f64,
+    contact_ms: u32,
+    drain_timeout_ms: u32,
+    config_apply_ms: u32,
+}
+
+/// The machines of `albumoire-prod`.
+const USUAL: Machine = Machine {
+    cpu_share: 0.19,
+    memory_mb: 260,
+    max_fds: 4100,
+    link_mbps: 1000.0,
+    contact_ms: 3000,
+    drain_timeout_ms: 2000,
+    config_apply_ms: 2000,
+};
+
+/// The smallest machines of `harecastle-sign-grown`.
+const SMALL: Machine = Machine {
+    cpu_share: 0.063,
+    memory_mb: 112,
+    max_fds: 2870,
+    link_mbps: 10.0,
+    contact_ms: 4000,
+    drain_timeout_ms: 3000,
+    config_apply_ms: 3000,
+};
+
 impl Fleet {
-    /// Starts the store on a network of loopback addresses that nobody uses.
+    /// Starts a deployment with the machines of `albumoire-prod`.
     pub fn start(record: Record) -> Self {
+        Fleet::start_with(record, USUAL)
+    }
+
+    /// Starts a deployment with the smallest machines of `harecastle-sign-grown`.
+    pub fn start_small(record: Record) -> Self {
+        Fleet::start_with(record, SMALL)
+    }
+
+    /// Starts the store on a network of loopback addresses that nobody uses.
+    fn start_with(record: Record, machine: Machine) -> Self {
         let process_id = std::process::id();
         for step in 0..200 {
             let seed = process_id.wrapping_mul(7).wrapping_add(step);
@@ -82,6 +127,7 @@
                     directory,
                     store,
                     record,
+                    machine,
                 };
             }
         }
@@ -107,7 +153,10 @@
         let settings = self.directory.join(format!("boot-{number}.toml"));
         std::fs::write(&settings, self.settings(number)).expect("the settings are written");
         let log = File::create(self.directory.join(format!("router-{number}.log")));
-        let child = Command::new(PROGRAM)
+        // The platform limits the descriptors of a process to those of its machine.
+        let limited = format!("ulimit -n {} && exec {PROGRAM}", self.machine.max_fds);
+        let child = Command::new("bash")
+            .args(["-c", &limited])
             .env("STACKTACK_CONFIG", &settings)
             .env_remove("RUST_LOG")
             .stdin(Stdio::null())
@@ -146,6 +195,15 @@
         let seeds = seeds.join(",");
         let last_internal_port = FIRST_INTERNAL_PORT + 15;
         let store = self.store.address;
+        let Machine {
+            cpu_share,
+            memory_mb,
+            max_fds,
+            link_mbps,
+            contact_ms,
+            drain_timeout_ms,
+            config_apply_ms,
+        } = self.machine;
         format!(
             r#"node_name = "front-z1-{number}"
 role = "router"
@@ -169,11 +227,11 @@
 ready = "{ip}:{READY_PORT}"
 control = "{ip}:{CONTROL_PORT}"
 [limits]
-cpu_share = 0.19
+cpu_share = {cpu_share}
 cores = 1
-memory_mb = 260
-max_fds = 4100
-link_mbps = 1000.0
+memory_mb = {memory_mb}
+max_fds = {max_fds}
+link_mbps = {link_mbps:?}
 disk_mb = 0
 [fault_tolerance]
 machines = 2
@@ -182,13 +240,13 @@
 [bounds]
 seed_lag_s = 3
 reuse_delay_s = 2
-contact_ms = 3000
+contact_ms = {contact_ms}
 ack_ms = 4000
 catch_up_s = 4
-drain_timeout_ms = 2000
+drain_timeout_ms = {drain_timeout_ms}
 grace_s = 8
 loss_slack_ms = 200
-config_apply_ms = 2000
+config_apply_ms = {config_apply_ms}
 rollback_slack_ms = 250
 max_skew_ms = 5000
 strict_revocation = false
--- a/review/standins-2/src/http.rs
+++ b/review/standins-2/src/http.rs
@@ -1,6 +1,6 @@
 //! Reads HTTP/1.1 messages from sockets.
 
-use std::io::{self, Read};
+use std::io::{self, Read, Write};
 use std::net::TcpStream;
 
 /// A message, as far as the stand-ins need it.
@@ -62,6 +62,11 @@
         }
     }
 
+    /// Writes to the connection.
+    pub fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.stream.write_all(bytes)
+    }
+
     fn fill(&mut self) -> io::Result<()> {
         let mut bytes = [0; 16 * 1024];
         let count = self.stream.read(&mut bytes)?;
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -2,10 +2,12 @@
 //! held, 2 if the case couldn't run. With `TROUBLE=0` the disruption is left out.
 
 mod client;
+mod descriptors;
 mod engine;
 mod fleet;
 mod http;
 mod json;
+mod plain;
 mod resumed_twice;
 mod spoiled_length;
 mod store;
@@ -28,6 +30,7 @@
         record.line(&format!("case={case} trouble={trouble}"));
         let held = match case.as_str() {
             "resumed-twice" => resumed_twice::run(record.clone(), trouble),
+            "descriptors" => descriptors::run(record.clone(), trouble),
             "spoiled-length" => spoiled_length::run(record.clone(), trouble),
             _ => return None,
         };
