--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -32,10 +32,10 @@
 
 impl Record {
     pub fn create(path: &Path) -> Self {
+        // Processes that the case starts append to the same file.
+        let file = File::create(path).and_then(|_| File::options().append(true).open(path));
         Record {
-            file: Arc::new(Mutex::new(
-                File::create(path).expect("the record is created"),
-            )),
+            file: Arc::new(Mutex::new(file.expect("the record is created"))),
             started: Instant::now(),
         }
     }
@@ -150,6 +150,23 @@
 
     /// Starts the router of this number and waits until it is ready.
     pub fn start_router(&self, number: u8) -> Router {
+        let router = self.spawn_router(number);
+        self.await_ready(number, &router);
+        router
+    }
+
+    /// Starts routers at the same moment and waits until all are ready.
+    pub fn start_routers(&self, count: u8) -> Vec<Router> {
+        let routers: Vec<Router> = (1..=count)
+            .map(|number| self.spawn_router(number))
+            .collect();
+        for (number, router) in (1..=count).zip(&routers) {
+            self.await_ready(number, router);
+        }
+        routers
+    }
+
+    fn spawn_router(&self, number: u8) -> Router {
         let settings = self.directory.join(format!("boot-{number}.toml"));
         std::fs::write(&settings, self.settings(number)).expect("the settings are written");
         let log = File::create(self.directory.join(format!("router-{number}.log")));
@@ -167,23 +184,24 @@
             eprintln!("{PROGRAM} does not start; build it first");
             std::process::exit(2);
         };
-        let router = Router {
+        Router {
             child,
             clients: address(self.network, number, CLIENT_PORT),
             ready: address(self.network, number, READY_PORT),
-        };
+        }
+    }
+
+    fn await_ready(&self, number: u8, router: &Router) {
         let end = Instant::now() + Duration::from_secs(15);
         while !client::is_ready(router.ready) {
             if Instant::now() > end {
-                eprintln!("router {number} is not ready in time");
-                drop(router);
-                std::process::exit(2);
+                // Ends the case as one that couldn't run, and the processes that it started.
+                panic!("router {number} is not ready in time");
             }
             thread::sleep(Duration::from_millis(50));
         }
         self.record
             .line(&format!("router {number} ready clients={}", router.clients));
-        router
     }
 
     /// Settings as on the page of the deployment, with the bounds of its example.
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -11,6 +11,7 @@
 mod resumed_twice;
 mod spoiled_length;
 mod store;
+mod wrong_verdict;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -19,18 +20,25 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
-    let [case, record] = arguments.as_slice() else {
+    if let [role, record, id, address] = arguments.as_slice() {
+        if role == "worker" {
+            let result = wrong_verdict::serve_as_worker(record, id, address);
+            return ExitCode::from(u8::from(result.is_err()));
+        }
+    }
+    let [case, path] = arguments.as_slice() else {
         eprintln!("usage: review-standins-2 CASE RECORD");
         return ExitCode::from(2);
     };
     // A case that panics couldn't run.
     let result = std::panic::catch_unwind(|| {
         let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
-        let record = Record::create(Path::new(record));
+        let record = Record::create(Path::new(path));
         record.line(&format!("case={case} trouble={trouble}"));
         let held = match case.as_str() {
             "resumed-twice" => resumed_twice::run(record.clone(), trouble),
             "descriptors" => descriptors::run(record.clone(), trouble),
+            "wrong-verdict" => wrong_verdict::run(record.clone(), path, trouble),
             "spoiled-length" => spoiled_length::run(record.clone(), trouble),
             _ => return None,
         };
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -58,6 +58,15 @@
         self.change(table, key, None);
     }
 
+    /// Keys of the rows of a table.
+    pub fn keys(&self, table: &str) -> Vec<String> {
+        let tables = self.tables.0.lock().unwrap();
+        let rows = tables.rows.iter();
+        rows.filter(|((known, _), row)| known == table && row.value.is_some())
+            .map(|((_, key), _)| key.clone())
+            .collect()
+    }
+
     fn change(&self, table: &str, key: &str, value: Option<String>) {
         let (tables, changed) = &*self.tables;
         let mut tables = tables.lock().unwrap();
