--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -312,22 +312,6 @@
     pub ready: SocketAddr,
 }
 
-impl Router {
-    /// Sends a signal by its name.
-    pub fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        let sent = Command::new("kill")
-            .args([&format!("-{name}"), &id])
-            .status();
-        assert!(sent.is_ok_and(|status| status.success()), "signal {name}");
-    }
-
-    /// Whether the process has ended.
-    pub fn has_ended(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(Some(_)))
-    }
-}
-
 impl Drop for Router {
     fn drop(&mut self) {
         // Fails only if the process has ended.
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -4,6 +4,7 @@
 mod client;
 mod descriptors;
 mod engine;
+mod equal_requests;
 mod fleet;
 mod http;
 mod json;
@@ -39,6 +40,7 @@
             "resumed-twice" => resumed_twice::run(record.clone(), trouble),
             "descriptors" => descriptors::run(record.clone(), trouble),
             "wrong-verdict" => wrong_verdict::run(record.clone(), path, trouble),
+            "equal-requests" => equal_requests::run(record.clone(), trouble),
             "spoiled-length" => spoiled_length::run(record.clone(), trouble),
             _ => return None,
         };
