--- a/review/standins-2/src/equal_requests.rs
+++ b/review/standins-2/src/equal_requests.rs
@@ -31,19 +31,19 @@
 /// Requests that wait at the worker at most.
 const QUEUE: u32 = 3;
 
-const WORK: Duration = Duration::from_millis(30);
+const WORK: Duration = Duration::from_millis(15);
 
-const STATUS_PER_SECOND: u32 = 100;
+const STATUS_PER_SECOND: u32 = 200;
 const DETAILS_PER_SECOND: u32 = 20;
 
 fn configuration(version: u32, has_status: bool) -> String {
     let status = if has_status {
-        r#",{"name":"r-status","host":"album.example","path_prefix":"/status/","kind":"safe","timeout_ms":10000,"target_latency_ms":300,"priority":1,"service":"status","max_attempts":2,"public":false}"#
+        r#",{"name":"r-status","host":"album.example","path_prefix":"/status/","kind":"safe","timeout_ms":8500,"target_latency_ms":300,"priority":1,"service":"status","max_attempts":2,"public":false}"#
     } else {
         ""
     };
     format!(
-        r#"{{"version":{version},"routes":[{{"name":"r-details","host":"album.example","path_prefix":"/details/","kind":"safe","timeout_ms":10000,"target_latency_ms":300,"priority":1,"service":"details","max_attempts":2,"public":false}}{status}],"services":[{{"name":"details","health_path":"/healthz","max_connections":110,"protocol":"h1","tls":false}},{{"name":"status","health_path":"/healthz","max_connections":110,"protocol":"h1","tls":false}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"family","api_keys":["key-of-the-family"],"priority":1}}]}}"#
+        r#"{{"version":{version},"routes":[{{"name":"r-details","host":"album.example","path_prefix":"/details/","kind":"safe","timeout_ms":8500,"target_latency_ms":300,"priority":1,"service":"details","max_attempts":2,"public":false}}{status}],"services":[{{"name":"details","health_path":"/healthz","max_connections":110,"protocol":"h1","tls":false}},{{"name":"status","health_path":"/healthz","max_connections":110,"protocol":"h1","tls":false}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"family","api_keys":["key-of-the-family"],"priority":1}}]}}"#
     )
 }
 
@@ -170,13 +170,12 @@
         thread::spawn(move || {
             // Everybody asks for the same status; details are of one photo each.
             let target = match path {
-                "/status/" => "fleet".to_owned(),
+                "/status/" => format!("fleet-{}", std::process::id()),
                 _ => number.to_string(),
             };
             let sent = Instant::now();
-            let request = format!("GET {path}{target} HTTP/1.1\r\nHost: album.example\r\nStacktack-Attempt-Id: {}{number}\r\nStacktack-Deadline-Ms: 10000\r\nAuthorization: Bearer key-of-the-family\r\n\r\n", path.trim_matches('/'));
-            let answer =
-                client::exchange(router, request.as_bytes(), Duration::from_millis(10_500));
+            let request = format!("GET {path}{target} HTTP/1.1\r\nHost: album.example\r\nStacktack-Attempt-Id: {}{number}\r\nStacktack-Deadline-Ms: 8500\r\nAuthorization: Bearer key-of-the-family\r\n\r\n", path.trim_matches('/'));
+            let answer = client::exchange(router, request.as_bytes(), Duration::from_millis(9_000));
             let status = answer.map_or(0, |answer| answer.status());
             outcomes
                 .lock()
@@ -227,7 +226,7 @@
         let deadline: u64 = request
             .header("stacktack-deadline-ms")
             .parse()
-            .unwrap_or(10_000);
+            .unwrap_or(8_500);
         let end = Instant::now() + Duration::from_millis(deadline);
         let answered = take(&id, worker, &mut writer, status, end);
         *status.taken.lock().unwrap() -= 1;
