--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -321,6 +321,15 @@
     pub ready: SocketAddr,
 }
 
+impl Router {
+    /// Sends the stop signal, as the platform does to a machine that leaves.
+    pub fn terminate(&self) {
+        let id = self.child.id().to_string();
+        let sent = Command::new("kill").args(["-TERM", &id]).status();
+        assert!(sent.is_ok_and(|status| status.success()), "SIGTERM is sent");
+    }
+}
+
 impl Drop for Router {
     fn drop(&mut self) {
         // Fails only if the process has ended.
