--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/../.." || exit 2
 program=target/review-2/release/review-standins-2
 [ -x "$program" ] || exit 2
-timeout -k 5 110 "$program" equal-requests review/7/record.txt
+timeout -k 5 110 "$program" spoiled-length review/7/record.txt
 status=$?
 [ "$status" -le 1 ] || exit 2
 exit "$status"
