A response whose head leaves its framing unclear reaches no caller

With a larger length a 200 that never ended, with a transfer coding such as `chunke` a 200 or 500 whose body was the chunks' own framing.

Cause: the router reads a response by the framing that its HTTP client decides (chunks before lengths, any other coding ends with the connection), and passed the head's own `Content-Length` on to the caller. `ResponseFraming::of` asked only whether a header is there. So what a back end said of its framing was both acted on and passed on, and the two could differ.

Change: `response_framing` in the core turns status, version, codings and lengths of a head into the one framing that they name, or an error. `ClientConnection::send` asks it before anything else sees the response, so it holds for attempts, failed responses, resumed streams, peers and the store, and takes both fields out of the head. The router announces a length only for a body that it holds, or that is framed by that length. Such a response is rejected, not repaired: RFC 9112 would let us keep the chunks, but a head that says two things is damaged, and nothing else in it (id, status) is known to be right. The attempt fails as `invalid`: it is retried where the route allows it, is a 502 where the request may have run, and counts against the back end.

--- a/crates/stacktack-core/src/direct/request/attempt.rs
+++ b/crates/stacktack-core/src/direct/request/attempt.rs
@@ -28,6 +28,8 @@
     Failed,
     /// The connection broke after something was written.
     Broken,
+    /// The response is none that a caller can be given.
+    InvalidResponse,
     /// The response belonged to another request.
     MismatchedResponse,
     /// No response, or no further part of it, came within the time allowed for it.
@@ -71,6 +73,7 @@
             AttemptFailure::Rejected => "rejected",
             AttemptFailure::Failed => "failed",
             AttemptFailure::Broken => "broken",
+            AttemptFailure::InvalidResponse => "invalid",
             AttemptFailure::MismatchedResponse => "crossed",
             AttemptFailure::TimedOut => "silent",
         }
--- a/crates/stacktack-core/src/lib.rs
+++ b/crates/stacktack-core/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`gate`]: admission control, queue, attempts and draining at an agent.
 //! - [`dispatch`]: requests, offers, retries and fate queries at a router.
 //! - [`direct`]: a router that reaches back ends without agents.
+//! - [`response_framing`]: where the body of a back end's response ends.
 //! - [`control`]: membership, gossip within a byte budget, configuration sync.
 //! - [`chart`]: interpreter of the state charts in `charts/`.
 
@@ -26,6 +27,7 @@
 pub mod placement;
 pub mod problem;
 pub mod protection;
+pub mod response_framing;
 pub mod retry;
 pub mod time;
 pub mod tokens;
--- a/crates/stacktack-direct/src/attempt.rs
+++ b/crates/stacktack-direct/src/attempt.rs
@@ -18,12 +18,12 @@
 use stacktack_core::direct::stream_versions::software_version::SoftwareVersion;
 use stacktack_core::direct::traffic::route::Route;
 use stacktack_core::direct::work::back_end_work::{FirstEvent, SentWork};
+use stacktack_core::response_framing::ResponseFraming;
 use stacktack_core::time::Time;
 
 use crate::client::ClientConnection;
 use crate::memory::SentBytes;
 use crate::ports::{BackEndResponseHead, PauseRequest};
-use crate::response_events::ResponseFraming;
 use crate::rollouts::VersionObserver;
 use crate::router::Router;
 use crate::work::CountedSend;
--- a/crates/stacktack-direct/src/client.rs
+++ b/crates/stacktack-direct/src/client.rs
@@ -3,6 +3,9 @@
 //! Whether a request may have run depends on what happened on its connection, so nothing here
 //! retries, redirects or pools. Dropping a connection closes it at once, which cancels a request
 //! in flight.
+//!
+//! What a response says of its own framing, status and version is checked here, before anything
+//! else reads it.
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -12,9 +15,11 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::{Request, Response};
+use hyper::header::{HeaderName, HeaderValue, CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::{HeaderMap, Method, Request, Response, Version};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
+use stacktack_core::response_framing::{HeadError, ResponseFraming, ResponseLine};
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
@@ -66,6 +71,46 @@
     /// The connection broke after something may have been written.
     #[error("the connection broke: {0}")]
     Broken(hyper::Error),
+    /// The head of the response is rejected.
+    #[error("the head of the response is invalid: {0}")]
+    InvalidHead(#[from] HeadError),
+}
+
+/// A response whose head was checked. The head has no fields about framing, but for the length that
+/// answers a HEAD request, and the version of this side.
+pub struct CheckedResponse {
+    /// Head and body.
+    pub response: Response<Incoming>,
+    /// How the server marks the end of the body.
+    pub framing: ResponseFraming,
+}
+
+impl CheckedResponse {
+    fn check(
+        mut response: Response<Incoming>,
+        answers_head_request: bool,
+    ) -> Result<Self, HeadError> {
+        let line = ResponseLine {
+            status: response.status().as_u16(),
+            is_http_1_0: response.version() < Version::HTTP_11,
+            answers_head_request,
+        };
+        let headers = response.headers_mut();
+        let framing = line.framing(
+            values(headers, &TRANSFER_ENCODING),
+            values(headers, &CONTENT_LENGTH),
+        )?;
+        headers.remove(TRANSFER_ENCODING);
+        if !answers_head_request {
+            headers.remove(CONTENT_LENGTH);
+        }
+        Ok(CheckedResponse { response, framing })
+    }
+}
+
+/// Values of all fields of a name.
+fn values<'a>(headers: &'a HeaderMap, name: &HeaderName) -> impl Iterator<Item = &'a [u8]> {
+    headers.get_all(name).iter().map(HeaderValue::as_bytes)
 }
 
 /// An open connection. Dropping it closes it.
@@ -152,14 +197,16 @@
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, SendError> {
+    ) -> Result<CheckedResponse, SendError> {
+        let is_head_request = request.method() == Method::HEAD;
         self.head_limit.on_request();
         let result = self.sender.try_send_request(request).await;
         self.head_limit.on_head();
-        result.map_err(|mut error| match error.take_message() {
+        let response = result.map_err(|mut error| match error.take_message() {
             Some(_) => SendError::NotWritten,
             None => SendError::Broken(error.into_error()),
-        })
+        })?;
+        Ok(CheckedResponse::check(response, is_head_request)?)
     }
 }
 
@@ -192,6 +239,7 @@
         match error {
             SendError::TimedOut => SourceError::TimedOut,
             SendError::NotWritten | SendError::Broken(_) => SourceError::Broken,
+            SendError::InvalidHead(_) => SourceError::Malformed,
         }
     }
 }
@@ -203,7 +251,7 @@
     request: Request<Full<Bytes>>,
     transfer: &Transfer,
 ) -> Result<Response<Bytes>, SendError> {
-    let (head, mut body) = connection.send(request).await?.into_parts();
+    let (head, mut body) = connection.send(request).await?.response.into_parts();
     transfer.on_bytes(1);
     let mut collected = BytesMut::new();
     while let Some(frame) = body.frame().await {
--- a/crates/stacktack-direct/src/quarantine.rs
+++ b/crates/stacktack-direct/src/quarantine.rs
@@ -13,13 +13,13 @@
 use stacktack_core::direct::request::attempt::AttemptFailure;
 use stacktack_core::direct::stream_versions::software_version::VersionHash;
 use stacktack_core::direct::traffic::route::Tenant;
+use stacktack_core::response_framing::ResponseFraming;
 
 use crate::attempt::Attempt;
 use crate::candidates::Candidates;
 use crate::choice::Choice;
 use crate::crash_detection::ProbeResult;
 use crate::exchange::Exchange;
-use crate::response_events::ResponseFraming;
 use crate::router::{pool_name, Router};
 
 /// Multiple of the mean load which, with [`WATCHED_SLACK_REQUESTS`] added, bounds the load up to
--- a/crates/stacktack-direct/src/respond.rs
+++ b/crates/stacktack-direct/src/respond.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use hyper::header::CONTENT_LENGTH;
 use hyper::{Response, StatusCode};
 use rand::RngExt;
 use stacktack_core::direct::admission::retry_after::latest_return;
@@ -94,8 +95,8 @@
             }
             let deadline = ResponseDeadline(exchange.deadline);
             let stream = ResponseStream::new(exchange, buffered, rest, attempt, &head);
-            if stream.is_event_stream() {
-                head.headers.remove(hyper::header::CONTENT_LENGTH);
+            if let Some(length) = stream.announced_length() {
+                head.headers.insert(CONTENT_LENGTH, length.into());
             }
             head.extensions.insert(deadline);
             ResponseBody::stream(stream)
--- a/crates/stacktack-direct/src/response_body.rs
+++ b/crates/stacktack-direct/src/response_body.rs
@@ -16,6 +16,7 @@
 use hyper::StatusCode;
 use stacktack_core::direct::request::attempt::AttemptFailure;
 use stacktack_core::direct::request::events::ResumePoint;
+use stacktack_core::response_framing::ResponseFraming;
 use thiserror::Error;
 use tokio::time::{sleep, Instant, Sleep};
 
@@ -23,7 +24,7 @@
 use crate::attempt_timeout::ResponseProgress;
 use crate::exchange::{Exchange, Outcome};
 use crate::memory::{Charge, KeptBytes, ResponseAccount};
-use crate::response_events::{ResponseEvents, ResponseFraming};
+use crate::response_events::ResponseEvents;
 
 /// Part of the time for which a caller waits for the next event after which a resumable stream without
 /// bytes is resumed at another back end, if allowed; that one has the rest to send the event.
@@ -189,9 +190,15 @@
         }
     }
 
-    /// Whether the router decides where the stream ends, whatever length its back end announces.
-    pub fn is_event_stream(&self) -> bool {
-        self.events.is_event_stream()
+    /// Length of the whole body, if the caller can be told it: where the stream has events, the router
+    /// decides where it ends.
+    pub fn announced_length(&self) -> Option<u64> {
+        match &self.state {
+            StreamState::Receiving { attempt, .. } if !self.events.is_event_stream() => {
+                attempt.framing.length()
+            }
+            _ => None,
+        }
     }
 
     /// Next bytes for the caller.
--- a/crates/stacktack-direct/src/response_events.rs
+++ b/crates/stacktack-direct/src/response_events.rs
@@ -2,48 +2,13 @@
 //! end where it is.
 
 use bytes::Bytes;
-use http_body::Body;
-use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, TRANSFER_ENCODING};
+use hyper::header::CONTENT_TYPE;
 use hyper::http::response;
 use stacktack_core::direct::request::events::{EventScanner, EventSplitter, ResumePoint};
 use stacktack_core::direct::traffic::route::RouteKind;
 
 const EVENT_STREAM: &str = "text/event-stream";
 
-/// How a back end marks the end of a response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ResponseFraming {
-    /// Its length is announced.
-    Length,
-    /// It comes in chunks; an empty one is the last.
-    Chunked,
-    /// It ends with its connection.
-    Close,
-}
-
-impl ResponseFraming {
-    /// Framing of a response.
-    pub fn of(head: &response::Parts, body: &Incoming) -> Self {
-        if body.size_hint().exact().is_some() {
-            ResponseFraming::Length
-        } else if head.headers.contains_key(TRANSFER_ENCODING) {
-            ResponseFraming::Chunked
-        } else {
-            ResponseFraming::Close
-        }
-    }
-
-    /// Name in logs.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            ResponseFraming::Length => "length",
-            ResponseFraming::Chunked => "chunked",
-            ResponseFraming::Close => "close",
-        }
-    }
-}
-
 /// What is known of the events of a response.
 pub enum ResponseEvents {
     /// The response is no event stream.
--- a/crates/stacktack-direct/src/sending.rs
+++ b/crates/stacktack-direct/src/sending.rs
@@ -7,7 +7,6 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use stacktack_core::direct::memory::responses::MIN_CHARGE;
 use stacktack_core::direct::quarantine::record::Treatment;
@@ -18,10 +17,9 @@
 use crate::attempt::{Attempt, AttemptOutcome, FailedResponse};
 use crate::attempt_timeout::ResponseProgress;
 use crate::choice::Choice;
-use crate::client::{ClientConnection, ConnectError, SendError, MAX_BUFFER_BYTES};
+use crate::client::{CheckedResponse, ClientConnection, ConnectError, SendError, MAX_BUFFER_BYTES};
 use crate::exchange::Exchange;
 use crate::ports::ForwardMetadata;
-use crate::response_events::ResponseFraming;
 use crate::router::pool_name;
 
 /// Bytes that are buffered for a connection to a back end where memory is bounded: half of what each
@@ -105,7 +103,9 @@
             Ok(response) => self.classify(response, attempt).await,
             Err(failure) => {
                 match failure {
-                    AttemptFailure::Broken => attempt.on_failure(),
+                    AttemptFailure::Broken | AttemptFailure::InvalidResponse => {
+                        attempt.on_failure();
+                    }
                     // None of these says anything about how the back end serves.
                     AttemptFailure::BackEndLeft
                     | AttemptFailure::BackEndPaused
@@ -184,7 +184,7 @@
         attempt: &mut Attempt,
         resume_after: Option<&str>,
         fetch_from: Option<SocketAddr>,
-    ) -> Result<Response<Incoming>, AttemptFailure> {
+    ) -> Result<CheckedResponse, AttemptFailure> {
         if !attempt.count_request_bytes(self.body.bytes().len()) {
             return Err(AttemptFailure::BytesUnderWay);
         }
@@ -240,10 +240,23 @@
                 }
                 Err(SendError::Broken(_)) => return Err(AttemptFailure::Broken),
                 Err(SendError::TimedOut) => return Err(AttemptFailure::TimedOut),
+                Err(SendError::InvalidHead(error)) => {
+                    self.log_invalid_response(attempt, &error);
+                    return Err(AttemptFailure::InvalidResponse);
+                }
             }
         }
     }
 
+    fn log_invalid_response(&self, attempt: &Attempt, cause: &dyn std::fmt::Display) {
+        log::info!(
+            target: "attempt",
+            "id={} back_end={} invalid_response=true cause=\"{cause}\"",
+            self.id,
+            attempt.back_end,
+        );
+    }
+
     /// Connects. A request that may run only once waits briefly in case an overloaded back end
     /// resets the connection: that proves that nothing ran.
     async fn open_connection(&self, address: SocketAddr) -> Result<ClientConnection, ConnectError> {
@@ -278,9 +291,9 @@
     /// deadline of the request has passed.
     async fn await_head(
         &mut self,
-        head: impl Future<Output = Result<Response<Incoming>, SendError>>,
+        head: impl Future<Output = Result<CheckedResponse, SendError>>,
         progress: ResponseProgress,
-    ) -> Result<Response<Incoming>, SendError> {
+    ) -> Result<CheckedResponse, SendError> {
         let mut head = pin!(head);
         loop {
             if let Ok(result) = timeout(self.head_timeout(), &mut head).await {
@@ -334,13 +347,13 @@
     /// server error.
     async fn classify(
         &mut self,
-        response: Response<Incoming>,
+        response: CheckedResponse,
         mut attempt: Attempt,
     ) -> AttemptOutcome {
-        let (head, body) = response.into_parts();
+        attempt.framing = response.framing;
+        let (head, body) = response.response.into_parts();
         let response_info = self.router.protocol.read_response(&head);
         attempt.on_head(&response_info);
-        attempt.framing = ResponseFraming::of(&head, &body);
         let is_own = response_info.id.as_deref() == Some(self.id.as_str());
         let is_id_missing = response_info.id.is_none() && !head.status.is_success();
         if !is_own && !is_id_missing {
