A response with the status of no final response reaches no caller

What callers saw: a 101 (Switching Protocols) that nobody had asked for, after which the connection of the caller hung, and statuses 600 to 999.

Cause: the status of a back end was passed on as it came. The HTTP client rejects what is no three digits and 000 to 099 by itself, and skips interim responses, but ends an exchange with 101 and takes any status up to 999.

Change: the check of a response's head rejects statuses outside 200 to 599 (RFC 9110, section 15: others are invalid), as any head that can't be relied on. Status 000, which other operators reported, is one of the forms of the test: it was a 502 before as well.

Evidence: a_response_with_the_status_of_no_final_response_reaches_no_caller failed before with 101, 600 and 999 on both kinds of routes, and passes now.

--- a/crates/stacktack-core/src/response_framing.rs
+++ b/crates/stacktack-core/src/response_framing.rs
@@ -10,6 +10,10 @@
 /// The only transfer coding that is understood.
 const CHUNKED: &[u8] = b"chunked";
 
+/// Statuses of final responses. Interim ones are skipped before, except for 101 (Switching Protocols),
+/// which nobody asks for.
+const FINAL_STATUSES: std::ops::RangeInclusive<u16> = 200..=599;
+
 /// Statuses of responses without a body.
 const STATUSES_WITHOUT_BODY: [u16; 2] = [204, 304];
 
@@ -52,6 +56,9 @@
 /// Why the head of a response is rejected.
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
 pub enum HeadError {
+    /// The status is that of no final response.
+    #[error("status {0} is that of no final response")]
+    Status(u16),
     /// The transfer coding is not understood, or stands in a response that can have none.
     #[error("the transfer coding is not understood")]
     TransferCoding,
@@ -82,6 +89,9 @@
         transfer_codings: impl Iterator<Item = &'a [u8]>,
         lengths: impl Iterator<Item = &'a [u8]>,
     ) -> Result<ResponseFraming, HeadError> {
+        if !FINAL_STATUSES.contains(&self.status) {
+            return Err(HeadError::Status(self.status));
+        }
         let is_chunked = self.is_chunked(transfer_codings)?;
         let length = announced_length(lengths)?;
         if is_chunked && length.is_some() {
--- a/crates/stacktack-direct/tests/response_heads.rs
+++ b/crates/stacktack-direct/tests/response_heads.rs
@@ -57,6 +57,25 @@
     responses
 }
 
+/// Responses whose status line is that of no final response.
+fn responses_with_spoilt_status_lines() -> Vec<RawResponse> {
+    let lines = [
+        "HTTP/1.1 000 OK",
+        "HTTP/1.1 020 OK",
+        "HTTP/1.1 20 OK",
+        "HTTP/1.1 2000 OK",
+        "HTTP/1.1 101 Switching Protocols",
+        "HTTP/1.1 600 Odd",
+        "HTTP/1.1 999 Odd",
+        "HTTP/1.1 -20 OK",
+        "HTTP/2.0 200 OK",
+        "HTTP/0.9 200 OK",
+        "HTTP/1.1\t200 OK",
+    ];
+    let responses = lines.map(|line| format!("{line}\r\ncontent-length: 5\r\n\r\nwrong"));
+    responses.map(|text| RawResponse::closed(&text)).to_vec()
+}
+
 /// Responses with a line in their head that is no field.
 fn responses_with_spoilt_lines() -> Vec<RawResponse> {
     let lines = [
@@ -139,6 +158,12 @@
     all_are_refused(spoilt_responses()).await;
 }
 
+/// Guards against a response with status 000, 101 or 999, which no caller can use.
+#[tokio::test]
+async fn a_response_with_the_status_of_no_final_response_reaches_no_caller() {
+    all_are_refused(responses_with_spoilt_status_lines()).await;
+}
+
 /// Guards against a head that is passed on without a line that is no field, which may have told the
 /// length.
 #[tokio::test]
