A caller is answered in HTTP/1.1 whatever version its back end speaks

What callers saw: a stream of a back end that answers in HTTP/1.0 went on in HTTP/1.0 to a caller that speaks 1.1. Its end was then the close of the connection, and a stream that was cut looked complete.

Cause: the version of a back end's response was passed on with its head. The router resets a connection whose close is the end of a response only for callers that speak 1.0 themselves.

Change: the check of a response's head sets the router's own version (RFC 9112, section 2.3), for responses that are passed on, for failed ones and for streams. The framing of an older caller is still decided by that caller's version.

Evidence: a_caller_is_answered_in_its_own_version_and_never_takes_a_cut_stream_ for_whole fails without the line (`http/1.0 200` for a whole response, a cut stream that ends in order) and passes with it.

--- a/crates/stacktack-direct/src/client.rs
+++ b/crates/stacktack-direct/src/client.rs
@@ -104,6 +104,7 @@
         if !answers_head_request {
             headers.remove(CONTENT_LENGTH);
         }
+        *response.version_mut() = Version::HTTP_11;
         Ok(CheckedResponse { response, framing })
     }
 }
--- a/crates/stacktack-direct/tests/response_heads.rs
+++ b/crates/stacktack-direct/tests/response_heads.rs
@@ -197,6 +197,37 @@
     LocalSet::new().run_until(test).await;
 }
 
+/// Guards against a response in HTTP/1.0 to a caller that speaks HTTP/1.1, for whom a cut stream then
+/// ends in order.
+#[tokio::test]
+async fn a_caller_is_answered_in_its_own_version_and_never_takes_a_cut_stream_for_whole() {
+    let test = async {
+        let head = "HTTP/1.0 200 OK\r\ncontent-type: text/event-stream\r\n\r\n";
+        for (events, is_whole) in [
+            ("data: 1\n\ndata: 2\n\n", true),
+            ("data: 1\n\ndata: 2", false),
+            ("", false),
+        ] {
+            let response = RawResponse::closed(&format!("{head}{events}"));
+            let [first, ..] = play(RouteKind::Stream, &response).await;
+            // Without any event the connection may close before the head.
+            let is_own_version = first.head.starts_with("http/1.1 200");
+            assert!(is_own_version || events.is_empty(), "{}", first.head);
+            assert_eq!(first.complete, is_whole, "{events:?} {}", first.head);
+        }
+        for status in ["200 OK", "500 Error"] {
+            let text = format!("HTTP/1.0 {status}\r\ncontent-length: 5\r\n\r\nplain");
+            let [first, sound, other] = play(RouteKind::Once, &RawResponse::closed(&text)).await;
+            assert!(first.head.starts_with("http/1.1"), "{}", first.head);
+            assert_eq!(
+                [first.text(), sound.text(), other.text()],
+                ["plain", "sound", "sound"]
+            );
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
+
 /// Guards against an answer to HEAD that loses its length, or that waits for a body.
 #[tokio::test]
 async fn a_response_without_a_body_keeps_the_connection_of_its_caller() {
