A body that goes on after its announced length reaches no caller as whole

What callers saw: a body that was cut where the head of the response announced too small a length (a spoilt digit), and that looked complete.

Cause: the router believed the length and dropped the connection on which the rest of the body followed, without asking what those bytes are.

Change: the task of a connection keeps whether it ended with bytes that begin no HTTP/1 response. Where all of an announced length was taken, the last bytes are given to the caller only if it did not. Bytes that begin a response are a surplus one, after a whole one, as before; the last chunk tells the end of a body whatever follows. Nothing is waited for: bytes that come later can't be told from a fault of their own.

What it costs: a whole response that stray bytes follow at once is lost to a request that may run only once, a 502. A body that may be cut is worse for its caller: it can't see it, whereas a 502 says that the outcome is open. Requests that may run again are asked elsewhere.

--- a/crates/stacktack-core/src/response_framing.rs
+++ b/crates/stacktack-core/src/response_framing.rs
@@ -145,3 +145,12 @@
     let length = std::str::from_utf8(digits).ok()?.parse().ok()?;
     (length <= MAX_LENGTH).then_some(length)
 }
+
+/// First bytes of any HTTP/1 response.
+const RESPONSE_START: &[u8] = b"HTTP/1.";
+
+/// Whether bytes that follow a response may be the start of another one.
+pub fn may_begin_response(bytes: &[u8]) -> bool {
+    let compared = bytes.len().min(RESPONSE_START.len());
+    bytes[..compared] == RESPONSE_START[..compared]
+}
--- a/crates/stacktack-direct/src/attempt.rs
+++ b/crates/stacktack-direct/src/attempt.rs
@@ -397,6 +397,14 @@
         self.router.on_vanished(&[vanished]);
     }
 
+    /// Whether the announced length of the response is in doubt, once all of that length was taken: the
+    /// bytes that follow it begin no other response, so that they may belong to the same body.
+    pub(crate) fn is_length_in_doubt(&self) -> bool {
+        let connection = self.connection.as_ref();
+        matches!(self.framing, ResponseFraming::Length(_))
+            && connection.is_some_and(|connection| connection.has_stray_bytes())
+    }
+
     /// Called when the response is complete: the connection may be reused.
     pub fn finish(mut self) {
         if let Some(connection) = self.connection.take() {
--- a/crates/stacktack-direct/src/client.rs
+++ b/crates/stacktack-direct/src/client.rs
@@ -7,8 +7,11 @@
 //! What a response says of its own framing, status and version is checked here, before anything
 //! else reads it.
 
+use std::cell::Cell;
+use std::future::poll_fn;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -19,7 +22,9 @@
 use hyper::{HeaderMap, Method, Request, Response, Version};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
-use stacktack_core::response_framing::{HeadError, ResponseFraming, ResponseLine};
+use stacktack_core::response_framing::{
+    may_begin_response, HeadError, ResponseFraming, ResponseLine,
+};
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
@@ -120,6 +125,8 @@
     sender: SendRequest<Full<Bytes>>,
     driver: Driver,
     head_limit: HeadLimit,
+    /// Whether the connection has ended with bytes that begin no response.
+    has_stray_bytes: Rc<Cell<bool>>,
 }
 
 /// Task that drives a connection; aborted on drop.
@@ -169,18 +176,23 @@
             stream,
             limit: head_limit.clone(),
         };
-        let (sender, connection) = http1::Builder::new()
+        let (sender, mut connection) = http1::Builder::new()
             .max_buf_size(max_buffer_bytes)
             .handshake(TokioIo::new(stream))
             .await?;
+        let has_stray_bytes = Rc::new(Cell::new(false));
+        let stray = has_stray_bytes.clone();
         let driver = Driver(actix_rt::spawn(async move {
             // A failure also reaches the task that waits for the response.
-            let _ = connection.await;
+            let _ = poll_fn(|context| connection.poll_without_shutdown(context)).await;
+            let unread = connection.into_parts().read_buf;
+            stray.set(!may_begin_response(&unread));
         }));
         Ok(ClientConnection {
             sender,
             driver,
             head_limit,
+            has_stray_bytes,
         })
     }
 
@@ -189,6 +201,12 @@
         !self.sender.is_closed() && !self.driver.0.is_finished()
     }
 
+    /// Whether bytes that begin no response have arrived after the last one, as far as is known when
+    /// the last bytes of its body have been taken. Later ones are not waited for.
+    pub fn has_stray_bytes(&self) -> bool {
+        self.has_stray_bytes.get()
+    }
+
     /// Whether the connection waits for a request: the previous one is complete in both directions.
     pub fn is_ready(&self) -> bool {
         self.sender.is_ready()
--- a/crates/stacktack-direct/src/response_body.rs
+++ b/crates/stacktack-direct/src/response_body.rs
@@ -339,9 +339,12 @@
         else {
             return Poll::Ready(StreamStep::End);
         };
-        match Pin::new(incoming).poll_frame(context) {
+        match Pin::new(&mut *incoming).poll_frame(context) {
             Poll::Ready(Some(Ok(frame))) => {
                 attempt.on_bytes();
+                if incoming.is_end_stream() && attempt.is_length_in_doubt() {
+                    return Poll::Ready(StreamStep::Broken(AttemptFailure::InvalidResponse));
+                }
                 self.reset_stall_timer();
                 let bytes = frame.into_data().unwrap_or_default();
                 self.is_attempt_empty &= bytes.is_empty();
--- a/crates/stacktack-direct/src/response_buffering.rs
+++ b/crates/stacktack-direct/src/response_buffering.rs
@@ -74,6 +74,9 @@
                 return Ok(ForwardedResponse { head, source });
             }
         }
+        if attempt.is_length_in_doubt() {
+            return Err(AttemptFailure::InvalidResponse);
+        }
         let source = BodySource::Buffered(KeptBytes::charged(buffered.freeze(), charge));
         Ok(ForwardedResponse { head, source })
     }
--- a/crates/stacktack-direct/src/sending.rs
+++ b/crates/stacktack-direct/src/sending.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use http_body::Body;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Request, Response, StatusCode};
 use stacktack_core::direct::memory::responses::MIN_CHARGE;
@@ -352,6 +353,10 @@
     ) -> AttemptOutcome {
         attempt.framing = response.framing;
         let (head, body) = response.response.into_parts();
+        if body.is_end_stream() && attempt.is_length_in_doubt() {
+            attempt.on_failure();
+            return AttemptOutcome::Failure(AttemptFailure::InvalidResponse, None);
+        }
         let response_info = self.router.protocol.read_response(&head);
         attempt.on_head(&response_info);
         let is_own = response_info.id.as_deref() == Some(self.id.as_str());
@@ -383,6 +388,9 @@
                 .collect()
                 .await;
             return match collected {
+                Ok(_) if attempt.is_length_in_doubt() => {
+                    AttemptOutcome::Failure(AttemptFailure::InvalidResponse, None)
+                }
                 Ok(body) => {
                     let failed_response = FailedResponse {
                         head,
