An idle timeout beyond all clocks closes no connection of a caller

What callers saw: their connection closed without a response, after their request had run, where a back end answered with `Keep-Alive: timeout=`.

Cause: the timeout was added to the present moment as it came, which panics in the task of the caller's connection when the sum is beyond the clock.

Change: at most an hour counts where the timeout is read into the pool of idle connections, whichever adapter read it. The other numbers of a response's head were looked through: loads are added with saturation, pauses end at 10^9 seconds, lengths at 2^63 - 1.

Evidence: an_endless_idle_timeout_of_a_worker_closes_no_connection_of_a_client failed before ("overflow when adding duration to instant", no response), and passes now.

--- a/crates/stacktack-direct/src/idle_connections.rs
+++ b/crates/stacktack-direct/src/idle_connections.rs
@@ -9,6 +9,9 @@
 /// Time for which an idle connection is used if the back end reported no keep-alive timeout.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Maximum keep-alive timeout that is counted, in seconds; a back end may report any number.
+const MAX_KEEP_ALIVE_SECONDS: u64 = 3600;
+
 /// Fraction of the reported keep-alive timeout after which an idle connection is no longer used.
 const KEEP_ALIVE_FRACTION: f64 = 0.6;
 
@@ -54,7 +57,7 @@
         now: Instant,
     ) {
         let timeout = keep_alive_seconds.map_or(DEFAULT_IDLE_TIMEOUT, |seconds| {
-            Duration::from_secs(seconds).mul_f64(KEEP_ALIVE_FRACTION)
+            Duration::from_secs(seconds.min(MAX_KEEP_ALIVE_SECONDS)).mul_f64(KEEP_ALIVE_FRACTION)
         });
         let idle = self.by_address.entry(address).or_default();
         let max_idle = MIN_IDLE_CONNECTIONS.max((slots / SLOTS_PER_IDLE_CONNECTION) as usize);
