--- a/crates/stacktack-direct/src/client.rs
+++ b/crates/stacktack-direct/src/client.rs
@@ -26,6 +26,7 @@
     may_begin_response, HeadError, ResponseFraming, ResponseLine,
 };
 use thiserror::Error;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
@@ -171,6 +172,14 @@
     async fn handshake(stream: TcpStream, max_buffer_bytes: usize) -> Result<Self, ConnectError> {
         stream.set_nodelay(true)?;
         SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
+        Self::over(stream, max_buffer_bytes).await
+    }
+
+    /// Uses a transport that is connected; up to `max_buffer_bytes` are buffered.
+    pub async fn over(
+        stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
+        max_buffer_bytes: usize,
+    ) -> Result<Self, ConnectError> {
         let head_limit = HeadLimit::default();
         let stream = HeadLimitedStream {
             stream,
--- a/crates/stacktack-direct/src/head_limit.rs
+++ b/crates/stacktack-direct/src/head_limit.rs
@@ -9,7 +9,6 @@
 
 use thiserror::Error;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 
 /// Maximum number of bytes up to the final head, and of the body that is read along with it.
 const MAX_BYTES: usize = 1024 * 1024;
@@ -46,14 +45,14 @@
 
 /// A stream on which reading fails at the limit.
 #[derive(Debug)]
-pub struct HeadLimitedStream {
+pub struct HeadLimitedStream<S> {
     /// The connection.
-    pub stream: TcpStream,
+    pub stream: S,
     /// Limit of the bytes to read.
     pub limit: HeadLimit,
 }
 
-impl AsyncRead for HeadLimitedStream {
+impl<S: AsyncRead + Unpin> AsyncRead for HeadLimitedStream<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -67,7 +66,7 @@
     }
 }
 
-impl AsyncWrite for HeadLimitedStream {
+impl<S: AsyncWrite + Unpin> AsyncWrite for HeadLimitedStream<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
