A document of the store or of a peer that does not end is given up

What could happen: a store or a peer that sends bytes without end had all of them kept.

Cause: `send_and_collect` read until the end, whatever came.

Change: 16 MiB at most, as for the agent's client of the platform; then the call fails as `TooLong` and its connection closes. A document that goes on after its length is malformed, as for back ends.

--- a/crates/stacktack-direct/src/attempt.rs
+++ b/crates/stacktack-direct/src/attempt.rs
@@ -401,7 +401,7 @@
     /// bytes that follow it begin no other response, so that they may belong to the same body.
     pub(crate) fn is_length_in_doubt(&self) -> bool {
         let connection = self.connection.as_ref();
-        matches!(self.framing, ResponseFraming::Length(_))
+        self.framing.length().is_some()
             && connection.is_some_and(|connection| connection.has_stray_bytes())
     }
 
--- a/crates/stacktack-direct/src/client.rs
+++ b/crates/stacktack-direct/src/client.rs
@@ -41,6 +41,9 @@
 /// Maximum bytes that are buffered for one connection: the response head and unread data.
 pub const MAX_BUFFER_BYTES: usize = 64 * 1024;
 
+/// Maximum size of a document of the store or of a peer, in bytes.
+const MAX_DOCUMENT_BYTES: usize = 16 * 1024 * 1024;
+
 /// Why a connection was not established.
 #[derive(Debug, Error)]
 pub enum ConnectError {
@@ -278,15 +281,22 @@
     connection: &mut ClientConnection,
     request: Request<Full<Bytes>>,
     transfer: &Transfer,
-) -> Result<Response<Bytes>, SendError> {
-    let (head, mut body) = connection.send(request).await?.response.into_parts();
+) -> Result<Response<Bytes>, SourceError> {
+    let CheckedResponse { response, framing } = connection.send(request).await?;
+    let (head, mut body) = response.into_parts();
     transfer.on_bytes(1);
     let mut collected = BytesMut::new();
     while let Some(frame) = body.frame().await {
         if let Ok(data) = frame.map_err(SendError::Broken)?.into_data() {
             transfer.on_bytes(data.len());
+            if collected.len() + data.len() > MAX_DOCUMENT_BYTES {
+                return Err(SourceError::TooLong);
+            }
             collected.extend_from_slice(&data);
         }
     }
+    if framing.length().is_some() && connection.has_stray_bytes() {
+        return Err(SourceError::Malformed);
+    }
     Ok(Response::from_parts(head, collected.freeze()))
 }
--- a/crates/stacktack-direct/src/source_error.rs
+++ b/crates/stacktack-direct/src/source_error.rs
@@ -26,6 +26,9 @@
     /// The changes after the given revision are no longer available: a snapshot has to be read.
     #[error("the history after the revision is gone")]
     HistoryGone,
+    /// The response is longer than any document.
+    #[error("the response is too long")]
+    TooLong,
     /// The response cannot be parsed.
     #[error("the response cannot be parsed")]
     Malformed,
