An agent uses no response whose head leaves its end unclear

What callers saw: of a plain service behind an agent, a 200 with an empty body where the back end had ended its body with its connection (HTTP/1.1, no length, no chunks: the HTTP client reads nothing of it and calls it complete); the body of chunks beside another length; an answer of status 101 or 700.

Cause: the same as at the router without agents: the agent took what its HTTP client made of a head for the response.

Change: the agent asks `response_framing` before it reports a head, for first calls and for resumptions, and gives up a body that it can't read. The router then fails the attempt as for any response that cannot be used.

Open: bytes after a length that is too small; this HTTP client does not show them.

--- a/crates/stacktack-agent/src/backend.rs
+++ b/crates/stacktack-agent/src/backend.rs
@@ -1,26 +1,29 @@
 //! HTTP calls to the back end: chat completions to an engine, plain requests to
 //! a service. Each call reports its progress as [`BackendEvent`]s. An attempt is
 //! reported as not run only if it was never sent, because connecting failed, or
-//! if the back end refused it.
+//! if the back end refused it. A response whose head leaves its end unclear is not used.
 
 use std::net::SocketAddr;
 
-use actix_http::header::CONTENT_TYPE;
+use actix_http::header::{
+    HeaderName, HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING,
+};
 use awc::error::SendRequestError;
-use awc::http::StatusCode;
+use awc::http::{Method, StatusCode, Version};
 use awc::{Client, Connector};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use stacktack_core::gate::response::ResponseHead;
 use stacktack_core::gate::BackendEvent;
+use stacktack_core::response_framing::{HeadError, ResponseFraming, ResponseLine};
 use stacktack_wire::identity::AttemptId;
 use stacktack_wire::message::{Offer, Payload, Priority, Usage};
+use thiserror::Error;
 
 use crate::events::{parse_usage, EventSplitter};
 
-/// Maximum size of a response body that is not an event stream; such a body is
-/// buffered until it is complete.
-const MAX_BUFFERED_BODY_BYTES: usize = 8 * 1024 * 1024;
+/// Maximum size of a response body, in bytes: the gate retains it so that routers can resume it.
+const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
 
 /// HTTP client of one back end; not shared between threads.
 #[derive(Clone)]
@@ -56,7 +59,7 @@
                 body,
                 ..
             } => {
-                let method = method.parse().unwrap_or(awc::http::Method::GET);
+                let method = method.parse().unwrap_or(Method::GET);
                 let mut request = self
                     .client
                     .request(method, format!("{}{path}", self.base))
@@ -70,7 +73,11 @@
                 request.send_body(body.clone()).await
             }
         };
-        let is_stream = matches!(offer.payload, Payload::Chat { stream: true, .. });
+        let kind = match &offer.payload {
+            Payload::Chat { stream, .. } => RequestKind::Chat { stream: *stream },
+            Payload::Service { method, .. } if method == Method::HEAD.as_str() => RequestKind::Head,
+            Payload::Service { .. } => RequestKind::Service,
+        };
         match sent {
             Err(SendRequestError::Connect(error)) => {
                 log::warn!(target: "backend", "attempt {attempt}: connecting to the back end failed: {error}");
@@ -80,7 +87,7 @@
                 log::warn!(target: "backend", "attempt {attempt}: the call failed: {error}");
                 report(BackendEvent::ConnectionBroken);
             }
-            Ok(response) => forward_response(attempt, response, is_stream, 0, report).await,
+            Ok(response) => forward_response(attempt, response, kind, 0, report).await,
         }
     }
 
@@ -89,8 +96,9 @@
         let url = format!("{}/v1/streams/{attempt}?offset={offset}", self.base);
         match self.client.get(url).send().await {
             Ok(response) if response.status() == StatusCode::OK => {
-                let is_stream = is_event_stream(&response);
-                forward_response(attempt, response, is_stream, offset, report).await;
+                let stream = is_event_stream(&response);
+                let kind = RequestKind::Chat { stream };
+                forward_response(attempt, response, kind, offset, report).await;
             }
             Ok(_) => report(BackendEvent::InvalidResponse),
             Err(_) => report(BackendEvent::ConnectionBroken),
@@ -126,6 +134,42 @@
     }
 }
 
+/// What a request asks for, as far as its response depends on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RequestKind {
+    /// A chat completion, as a stream of events or as a whole.
+    Chat { stream: bool },
+    /// The head of a plain response.
+    Head,
+    /// A plain response.
+    Service,
+}
+
+/// Why a response cannot be used, as its head shows.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+enum UnusableResponse {
+    /// The head is rejected.
+    #[error("invalid head: {0}")]
+    Head(#[from] HeadError),
+    /// The body ends with its connection, and the HTTP client reads none of it.
+    #[error("an HTTP/1.1 body without a length and without chunks")]
+    EndsWithConnection,
+}
+
+/// Checks whether all of a response can be read, as its head says.
+fn check_head(response: &Response, kind: RequestKind) -> Result<(), UnusableResponse> {
+    let values = |name: HeaderName| response.headers().get_all(name).map(HeaderValue::as_bytes);
+    let line = ResponseLine {
+        status: response.status().as_u16(),
+        is_http_1_0: response.version() < Version::HTTP_11,
+        answers_head_request: kind == RequestKind::Head,
+    };
+    match line.framing(values(TRANSFER_ENCODING), values(CONTENT_LENGTH))? {
+        ResponseFraming::Close if !line.is_http_1_0 => Err(UnusableResponse::EndsWithConnection),
+        _ => Ok(()),
+    }
+}
+
 fn is_event_stream(response: &Response) -> bool {
     content_type_of(response).starts_with("text/event-stream")
 }
@@ -144,10 +188,15 @@
 async fn forward_response(
     attempt: AttemptId,
     response: Response,
-    is_stream: bool,
+    kind: RequestKind,
     offset: u64,
     report: impl Fn(BackendEvent),
 ) {
+    if let Err(error) = check_head(&response, kind) {
+        log::warn!(target: "backend", "attempt {attempt}: the response cannot be used: {error}");
+        report(BackendEvent::InvalidResponse);
+        return;
+    }
     let status = response.status();
     if matches!(
         status,
@@ -158,6 +207,7 @@
         return;
     }
     let content_type = content_type_of(&response);
+    let is_stream = kind == RequestKind::Chat { stream: true };
     let events = is_stream && is_event_stream(&response);
     report(BackendEvent::Head(ResponseHead {
         status: status.as_u16(),
@@ -196,16 +246,20 @@
     report(BackendEvent::ConnectionBroken);
 }
 
+fn report_too_long(attempt: AttemptId, report: impl Fn(BackendEvent)) {
+    log::error!(target: "backend", "attempt {attempt}: the response exceeds {MAX_BODY_BYTES} bytes");
+    report(BackendEvent::InvalidResponse);
+}
+
 async fn forward_body(attempt: AttemptId, mut response: Response, report: impl Fn(BackendEvent)) {
     let mut body = BytesMut::new();
     while let Some(chunk) = response.next().await {
         match chunk {
-            Ok(chunk) if body.len() + chunk.len() <= MAX_BUFFERED_BODY_BYTES => {
+            Ok(chunk) if body.len() + chunk.len() <= MAX_BODY_BYTES => {
                 body.extend_from_slice(&chunk);
             }
             Ok(_) => {
-                log::error!(target: "backend", "attempt {attempt}: the response exceeds {MAX_BUFFERED_BODY_BYTES} bytes");
-                report(BackendEvent::InvalidResponse);
+                report_too_long(attempt, report);
                 return;
             }
             Err(error) => {
--- a/crates/stacktack-agent/src/lib.rs
+++ b/crates/stacktack-agent/src/lib.rs
@@ -6,7 +6,7 @@
 //! routers' connections and the calls to the back end.
 
 pub mod app;
-mod backend;
+pub mod backend;
 mod events;
 mod operator;
 mod settings;
