A response without end does not fill the memory of an agent

What callers saw (reported of a system like ours): a faulty worker sent bytes without end, the machine that had called it kept them all and ran out of memory, and the requests of other clients on that machine ended with it.

Cause: an agent's gate retains the pieces of a response so that routers can resume it. Bodies that are no streams had a bound of 8 MiB, event streams none: neither one event without an end nor any number of events. The search for the end of an event began at the start of what was kept with each part that came, so that one long event also took the processor.

Change: 8 MiB for any response; then it is given up as invalid. The search goes on where it ended.

--- a/crates/stacktack-agent/src/backend.rs
+++ b/crates/stacktack-agent/src/backend.rs
@@ -227,10 +227,16 @@
     report: impl Fn(BackendEvent),
 ) {
     let mut splitter = EventSplitter::default();
+    let mut received = 0;
     while let Some(chunk) = response.next().await {
         let Ok(chunk) = chunk else {
             break;
         };
+        received += chunk.len();
+        if received > MAX_BODY_BYTES {
+            report_too_long(attempt, report);
+            return;
+        }
         let pieces = splitter.push(&chunk);
         if !pieces.is_empty() {
             let count = pieces.len() as u64;
--- a/crates/stacktack-agent/src/events.rs
+++ b/crates/stacktack-agent/src/events.rs
@@ -17,6 +17,8 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
+    /// Bytes at the start of the buffer in which no separator begins.
+    searched: usize,
     /// Whether the final `[DONE]` event was received.
     pub done: bool,
     /// Token counts, from the latest event that had them.
@@ -29,8 +31,10 @@
     pub fn push(&mut self, bytes: &[u8]) -> Vec<Bytes> {
         self.buffer.extend_from_slice(bytes);
         let mut events = Vec::new();
-        while let Some(end) = find(&self.buffer, EVENT_SEPARATOR) {
-            let event = self.buffer.split_to(end + EVENT_SEPARATOR.len()).freeze();
+        while let Some(end) = find(&self.buffer[self.searched..], EVENT_SEPARATOR) {
+            let length = self.searched + end + EVENT_SEPARATOR.len();
+            let event = self.buffer.split_to(length).freeze();
+            self.searched = 0;
             if event.starts_with(DONE_PREFIX) {
                 self.done = true;
                 continue;
@@ -40,6 +44,7 @@
             }
             events.push(event);
         }
+        self.searched = (self.buffer.len() + 1).saturating_sub(EVENT_SEPARATOR.len());
         events
     }
 }
--- a/crates/stacktack-agent/tests/back_end_responses.rs
+++ b/crates/stacktack-agent/tests/back_end_responses.rs
@@ -11,6 +11,12 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
+/// Bytes that an agent may keep of one response.
+const MAX_KEPT_BYTES: usize = 16 << 20;
+
+/// Bytes after which a back end ends a response that is too long.
+const LONG_BYTES: usize = 64 << 20;
+
 /// Starts a back end that answers with a head and so many times with a part.
 async fn start_back_end(head: &str, part: &str, count: usize) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("listens");
@@ -65,6 +71,14 @@
     }
 }
 
+fn chat() -> Payload {
+    Payload::Chat {
+        model: "m".to_owned(),
+        stream: true,
+        body: Bytes::from_static(b"{}"),
+    }
+}
+
 /// What an agent reports of a response: the bytes of its pieces, and its last event.
 async fn run(address: SocketAddr, payload: Payload) -> (usize, BackendEvent) {
     let reported = RefCell::new((0, BackendEvent::Unreachable));
@@ -80,6 +94,25 @@
     reported.into_inner()
 }
 
+/// Guards against a machine that runs out of memory: a back end sent events, or one event, without end.
+#[actix_rt::test]
+async fn a_response_without_end_is_given_up() {
+    let head =
+        "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+    for events in [
+        format!("data: {}\n\n", "x".repeat(100_000)),
+        "x".repeat(100_000),
+        "\n\n".repeat(50_000),
+    ] {
+        let part = format!("{:x}\r\n{events}\r\n", events.len());
+        let count = LONG_BYTES / part.len();
+        let address = start_back_end(head, &part, count).await;
+        let (bytes, last) = run(address, chat()).await;
+        assert_eq!(last, BackendEvent::InvalidResponse);
+        assert!(bytes <= MAX_KEPT_BYTES, "{bytes}");
+    }
+}
+
 /// Guards against a body whose end its head leaves unclear, and that is taken for whole.
 #[actix_rt::test]
 async fn a_response_whose_framing_is_unclear_is_not_whole() {
