Equal requests are sent again after a few rejections

What callers saw: a route whose requests are all equal was refused for as long as they came, though a sound back end of its pool idled: 0 of 4,000 requests in 20 s after its worker had hung for 6.5 s, and 196 of 200 after three or four rejections of one of two workers (cause `back_ends_reject`).

Cause: whom a router refuses while back ends reject is drawn by content and time, so that repeating at once gains nothing. Equal requests have one draw. If that is high, none is sent; the share that is refused falls only with accepted requests, and each refusal raises it.

Change: what the share allows to be sent adds up, and a request is sent whatever its draw when a whole send is due. Sends of low draws count against that, up to 16, so that among different requests the draws go on to decide.

Evidence: equal_requests_are_sent_again_after_a_few_rejections sent 0 of 1,600 before, and all within the eighth second now, after 4, 40 and 400 rejections; where nothing is accepted less than 100 of 4,000 are sent (20 s).

--- a/crates/stacktack-core/src/direct/admission/mod.rs
+++ b/crates/stacktack-core/src/direct/admission/mod.rs
@@ -204,12 +204,7 @@
     /// Whether a request is refused because back ends reject too many requests; `draw`,
     /// uniform from 0 to 1, is called if a share of them is. A refusal is counted.
     pub fn should_shed(&mut self, draw: impl FnOnce() -> f64, now: Time) -> bool {
-        let share = self.rejections.shed_share(now);
-        let shed = share > 0.0 && draw() >= 1.0 - share;
-        if shed {
-            self.rejections.on_not_accepted(now);
-        }
-        shed
+        self.rejections.should_shed(draw, now)
     }
 
     /// A response began; `late` if that was after the latency objective, counted from the
--- a/crates/stacktack-core/tests/admission/main.rs
+++ b/crates/stacktack-core/tests/admission/main.rs
@@ -370,6 +370,52 @@
     assert!(sent > 3000, "{sent} sent once all are accepted again");
 }
 
+/// Guards against a route whose requests are all equal and that is refused for as long as they come: all have
+/// the same draw, and the share that is refused falls only with requests that are accepted.
+#[test]
+fn equal_requests_are_sent_again_after_a_few_rejections() {
+    for rejections in [4, 40, 400] {
+        let mut admission = PoolAdmission::default();
+        let mut now = Time(1_000_000);
+        for _ in 0..rejections {
+            admission.on_outcome(false, now);
+            now = now + Duration::from_millis(2);
+        }
+        let mut sent = [0; 8];
+        for second in &mut sent {
+            for _ in 0..200 {
+                now = now + Duration::from_millis(5);
+                if !admission.should_shed(|| 0.97, now) {
+                    *second += 1;
+                    admission.on_outcome(true, now);
+                }
+            }
+        }
+        let first = if rejections == 4 { 20 } else { 1 };
+        assert!(sent[0] >= first, "{rejections} rejections: {sent:?}");
+        assert!(sent[7] >= 190, "{rejections} rejections: {sent:?}");
+    }
+}
+
+/// Guards against a share that equal requests exceed: what a router sends follows from what is accepted,
+/// whatever the draws are.
+#[test]
+fn equal_requests_get_no_more_than_their_share() {
+    for draw in [0.0, 0.5, 0.99] {
+        let mut admission = PoolAdmission::default();
+        let mut now = Time(1_000_000);
+        let mut sent = 0;
+        for _ in 0..4000 {
+            now = now + Duration::from_millis(5);
+            if !admission.should_shed(|| draw, now) {
+                sent += 1;
+                admission.on_outcome(false, now);
+            }
+        }
+        assert!(draw == 0.0 || sent < 100, "draw {draw}: {sent} in 20 s");
+    }
+}
+
 /// Bounds that a fleet of the given size has to keep under overload.
 struct Expected {
     routers: usize,
