A body that turns too large to be kept with its last bytes is checked as well

A body that goes on after its announced length looked whole where its last bytes arrived just as it turned too large to be kept (above 1 MiB by less than one read): the check stood behind the loop that such a body leaves. It stands where the last bytes are taken now, and the log says why a response is invalid.

--- a/crates/stacktack-direct/src/attempt.rs
+++ b/crates/stacktack-direct/src/attempt.rs
@@ -397,12 +397,20 @@
         self.router.on_vanished(&[vanished]);
     }
 
-    /// Whether the announced length of the response is in doubt, once all of that length was taken: the
-    /// bytes that follow it begin no other response, so that they may belong to the same body.
-    pub(crate) fn is_length_in_doubt(&self) -> bool {
+    /// Checks the announced length of the response once all of that length was taken. It is in doubt if
+    /// the bytes that follow begin no other response, since they may belong to the same body.
+    pub(crate) fn check_length(&self) -> Result<(), AttemptFailure> {
         let connection = self.connection.as_ref();
-        self.framing.length().is_some()
-            && connection.is_some_and(|connection| connection.has_stray_bytes())
+        let has_stray_bytes = connection.is_some_and(|connection| connection.has_stray_bytes());
+        let Some(length) = self.framing.length().filter(|_| has_stray_bytes) else {
+            return Ok(());
+        };
+        log::info!(
+            target: "attempt",
+            "back_end={} invalid_response=true cause=\"stray bytes after the announced length\" length={length}",
+            self.back_end,
+        );
+        Err(AttemptFailure::InvalidResponse)
     }
 
     /// Called when the response is complete: the connection may be reused.
--- a/crates/stacktack-direct/src/response_body.rs
+++ b/crates/stacktack-direct/src/response_body.rs
@@ -342,8 +342,10 @@
         match Pin::new(&mut *incoming).poll_frame(context) {
             Poll::Ready(Some(Ok(frame))) => {
                 attempt.on_bytes();
-                if incoming.is_end_stream() && attempt.is_length_in_doubt() {
-                    return Poll::Ready(StreamStep::Broken(AttemptFailure::InvalidResponse));
+                if incoming.is_end_stream() {
+                    if let Err(failure) = attempt.check_length() {
+                        return Poll::Ready(StreamStep::Broken(failure));
+                    }
                 }
                 self.reset_stall_timer();
                 let bytes = frame.into_data().unwrap_or_default();
--- a/crates/stacktack-direct/src/response_buffering.rs
+++ b/crates/stacktack-direct/src/response_buffering.rs
@@ -63,6 +63,9 @@
         while let Some(frame) = rest.frame().await {
             let frame = frame.map_err(|_| AttemptFailure::Broken)?;
             attempt.on_bytes();
+            if rest.is_end_stream() {
+                attempt.check_length()?;
+            }
             buffered.extend_from_slice(&frame.into_data().unwrap_or_default());
             if let Some(charge) = &mut charge {
                 charge.resize(buffered.capacity());
@@ -74,9 +77,6 @@
                 return Ok(ForwardedResponse { head, source });
             }
         }
-        if attempt.is_length_in_doubt() {
-            return Err(AttemptFailure::InvalidResponse);
-        }
         let source = BodySource::Buffered(KeptBytes::charged(buffered.freeze(), charge));
         Ok(ForwardedResponse { head, source })
     }
--- a/crates/stacktack-direct/src/sending.rs
+++ b/crates/stacktack-direct/src/sending.rs
@@ -357,7 +357,7 @@
         if let Some(cause) = &response_info.invalid {
             self.log_invalid_response(&attempt, cause);
         }
-        let is_cut = body.is_end_stream() && attempt.is_length_in_doubt();
+        let is_cut = body.is_end_stream() && attempt.check_length().is_err();
         if response_info.invalid.is_some() || is_cut {
             attempt.on_failure();
             return AttemptOutcome::Failure(AttemptFailure::InvalidResponse, None);
@@ -392,7 +392,7 @@
                 .collect()
                 .await;
             return match collected {
-                Ok(_) if attempt.is_length_in_doubt() => {
+                Ok(_) if attempt.check_length().is_err() => {
                     AttemptOutcome::Failure(AttemptFailure::InvalidResponse, None)
                 }
                 Ok(body) => {
