--- a/crates/stacktack-direct/src/lib.rs
+++ b/crates/stacktack-direct/src/lib.rs
@@ -11,7 +11,7 @@
 //! - Interfaces: [`ports`] has what a platform adapter supplies, [`source_error`] why a call to the
 //!   store or to a peer failed, and [`metrics`] the instruments of the process.
 //! - Connections: `server` serves callers' connections, `idle_connections` and [`client`]
-//!   connections to back ends.
+//!   connections to back ends; [`client`] also checks the head of each response.
 //! - One request: `admission`, `exchange`, `sending`, `candidates`, [`placement`], [`choice`] and
 //!   [`attempt`] take it from its head to its end. `pool_admission` decides on admission to its pool, `contention`
 //!   on admission to engines that callers compete for, `load_summary` sums up the loads of the pool for logs, `attempt_timeout` decides whether a silent attempt is
