Test: long uploads that are reset under their response, on sockets

The schedules of reset_uploads.rs play what the system does with the error of a reset; this plays 60 uploads of 8 MiB on real sockets, with 0 to 3 MB of them read before the response. None gets a whole response.

--- a/crates/stacktack-direct/tests/reset_uploads.rs
+++ b/crates/stacktack-direct/tests/reset_uploads.rs
@@ -1,6 +1,7 @@
 //! Responses without a length whose connection is reset while the request is still being written.
 
 use std::io::{Error, ErrorKind, Result};
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
@@ -8,8 +9,9 @@
 use http_body_util::{BodyExt, Full};
 use hyper::{Method, Request};
 use stacktack_direct::client::{ClientConnection, MAX_BUFFER_BYTES};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::task::LocalSet;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
+use tokio::net::TcpListener;
+use tokio::task::{spawn_local, LocalSet};
 
 const HEAD: &[u8] = b"HTTP/1.1 200 OK\r\n\r\n";
 const PART: &[u8] = b"a part of the body";
@@ -186,3 +188,42 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// Bytes of a long upload, more than the buffers of a connection take.
+const LONG_UPLOAD_BYTES: usize = 8 << 20;
+
+/// Starts a back end that reads so many bytes of a request, answers without a length, sends a part of the
+/// body and resets the connection.
+async fn start_resetting_back_end(read_bytes: usize) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("listens");
+    let address = listener.local_addr().expect("an address");
+    spawn_local(async move {
+        let (mut connection, _) = listener.accept().await.expect("a connection");
+        let mut read = vec![0; read_bytes + 1];
+        connection.read_exact(&mut read).await.expect("a request");
+        let written = connection.write_all(&[HEAD, PART].concat()).await;
+        written.expect("the response is written");
+        connection.set_zero_linger().expect("a reset");
+    });
+    address
+}
+
+/// Guards against the same on sockets, where the system decides which call gets the error.
+#[tokio::test]
+async fn a_long_upload_that_is_reset_under_its_response_gets_no_whole_response() {
+    let test = async {
+        for play in 0..60 {
+            let address = start_resetting_back_end(play * 50_000).await;
+            let connection = ClientConnection::connect(address).await;
+            let mut connection = connection.expect("a connection");
+            let body = Bytes::from(vec![b'x'; LONG_UPLOAD_BYTES]);
+            let mut request = Request::new(Full::new(body));
+            *request.method_mut() = Method::POST;
+            if let Ok(response) = connection.send(request).await {
+                let body = response.response.into_body().collect().await;
+                assert!(body.is_err(), "play {play}: {body:?}");
+            }
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
